--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,913 @@
+package control
+
+// Every decision of the module is in this file; the interface is in api.go and
+// plain bookkeeping in state.go. The order is that of a request's life: arrival,
+// choice of server, start, reports, rung changes while it plays, failure, end.
+
+import (
+	"errors"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Tuned values. Fullness is the rate asked of a link or uplink over what it gives.
+const (
+	fillTarget   = 0.92                   // fullness that rungs steer to: true rates swing around the ladder's
+	overFull     = 0.98                   // fullness that calls for steps down: past it the share delivered is short
+	admitLimit   = 1.0                    // fullness up to which a lowest rung is still let in
+	tieWidth     = 0.05                   // fullness: links this close count as equal, as reports are that noisy
+	zoneTie      = 0.03                   // fullness a server of another zone must be better by, at full zone price
+	startShare   = 0.7                    // part of the room left that one newcomer may take
+	swapGain     = 1.5                    // a step up must earn so many times what the step down it needs loses
+	switchGain   = 2.5                    // a step up must earn so many times the price of a switch
+	reportWeight = 0.6                    // weight of a new report against what was believed (noise of reports)
+	oldReport    = 12 * time.Second       // a report this old has half its say, the fleet's mean the rest
+	uplinkWeight = 0.3                    // weight of new evidence on what an uplink gives
+	uplinkGrowth = 1.01                   // per beat, regrowth of an uplink's size that no note contradicts
+	linkWeight   = 0.2                    // weight of new evidence on what a link gives
+	beat         = 500 * time.Millisecond // pace of corrections: finer than the notes, coarse against CPU
+	stepEvery    = 2 * time.Second        // between steps up on one link by one front: notes must show the last one
+	settle       = time.Second            // beyond the notes' delay, wait after a correction of an uplink
+	patiencePart = 0.45                   // of the aim: a set-up unanswered this long is tried elsewhere, in time
+	avoidFirst   = time.Second            // a failing server is left alone this long, doubled at each failure
+	avoidMost    = 8 * time.Second        // and this long at most, so that a mended one is soon found
+	silentNotes  = 2.5                    // missed note periods after which a server that others outlive is suspect
+	deadShare    = 0.2                    // a delivered share under this is a standstill, not a full link
+	coldMargin   = 0.6                    // part of the pace a cold server stands that the fronts use together
+	guessLength  = 20 * time.Second       // time left of a session whose length nobody told, or who outlived the hint
+	keepHistory  = 12 * time.Second       // own rates are remembered for late notes
+	returnAdvice = time.Second            // wait advised to a viewer who was turned away
+	noMoreThan   = 3.0                    // fullness reports are clipped here
+)
+
+// Controller makes the decisions of one front.
+type Controller struct {
+	set      Settings
+	rng      *rand.Rand
+	now      time.Duration
+	out      []Action
+	known    map[string]*server
+	order    []*server // by id
+	racks    []*rack
+	sessions map[string]*session
+	taken    []time.Duration         // requests, for the attempt budget
+	further  []time.Duration         // attempts beyond a request's first
+	tenants  map[int][]time.Duration // requests of a tenant in the last second
+	beating  bool
+	asking   bool // a subscription was asked for and has not failed
+	noted    time.Duration
+}
+
+// New returns the controller of one front, or an error if the settings make no sense.
+func New(set Settings, seed uint64) (*Controller, error) {
+	if len(set.Ladder) == 0 || len(set.RungWorth) != len(set.Ladder) {
+		return nil, errors.New("control: the ladder needs a worth for each of its rungs, and one rung at least")
+	}
+	for i, kb := range set.Ladder {
+		if !(kb > 0) || (i > 0 && kb < set.Ladder[i-1]) {
+			return nil, errors.New("control: the ladder's rates must be positive and rising")
+		}
+	}
+	for _, d := range []time.Duration{set.DrainGrace, set.Ramp, set.FallSpan, set.BudgetSpan, set.NoteDelay,
+		set.LinkNoteEvery, set.SwitchCost, set.MaxRetryAfter, set.AskWithin} {
+		if d < 0 {
+			return nil, errors.New("control: a time in the settings is negative")
+		}
+	}
+	set.Classes = slices.Clone(set.Classes)
+	for i := range set.Classes {
+		k := &set.Classes[i]
+		k.Top = min(k.Top, len(set.Ladder)-1)
+		if k.RateFactor <= 0 {
+			k.RateFactor = 1
+		}
+		if k.Floor < 0 || k.Floor > k.Top || k.Aim < 0 || k.Deadline < 0 || k.Window < 0 {
+			return nil, errors.New("control: a class has no rung or a negative time: " + k.Name)
+		}
+	}
+	set.Fronts = max(set.Fronts, 1)
+	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), known: map[string]*server{},
+		sessions: map[string]*session{}, tenants: map[int][]time.Duration{}}, nil
+}
+
+// Step takes what the front saw at a time and returns what it is to do.
+func (c *Controller) Step(now time.Duration, events []Event) []Action {
+	c.now, c.out = max(now, c.now), nil
+	if !c.beating {
+		c.beating = true
+		c.act(SetTimer{beat + time.Duration(c.rng.Int64N(int64(beat))), "beat"})
+	}
+	if c.set.Subscribe && !c.asking {
+		c.asking = true
+		c.act(Subscribe{})
+	}
+	for _, e := range events {
+		switch e := e.(type) {
+		case ListUpdate:
+			c.list(e)
+		case Request:
+			c.request(e)
+		case Started:
+			c.started(e)
+		case Note:
+			c.note(e)
+		case Ended:
+			c.ended(e)
+		case Left:
+			c.left(e)
+		case Probed:
+			c.probed(e)
+		case TimerFired:
+			c.timer(e)
+		}
+	}
+	return c.out
+}
+
+func (c *Controller) act(a Action) { c.out = append(c.out, a) }
+
+func (c *Controller) timer(e TimerFired) {
+	switch e.Label {
+	case "beat":
+		c.act(SetTimer{beat, "beat"})
+		c.regulate()
+	case "subscribe":
+		c.asking = true
+		c.act(Subscribe{})
+	}
+}
+
+// list follows the server list. A failed subscription is asked for again after a while.
+func (c *Controller) list(u ListUpdate) {
+	if u.Failed {
+		if c.set.Subscribe {
+			c.act(SetTimer{avoidFirst + time.Duration(c.rng.Int64N(int64(avoidFirst))), "subscribe"})
+		}
+		return
+	}
+	c.order = merge(c.known, u)
+	for _, s := range c.order {
+		if s.Started > 0 && s.Started > s.coldFrom {
+			s.coldFrom = s.Started
+		}
+		s.rack = 0
+		if c.set.Racks > 0 {
+			s.rack = ((s.Cell % c.set.Racks) + c.set.Racks) % c.set.Racks
+		}
+	}
+	c.sizeLinks()
+}
+
+// sizeLinks sets what links and uplinks are told to give. Where the weight tells no size,
+// the kind's streams do. What was learned of a link stays.
+func (c *Controller) sizeLinks() {
+	unit, sum := 0.0, 0.0
+	for _, s := range c.order {
+		if s.State != Gone {
+			sum += float64(c.streams(s))
+		}
+	}
+	if sum > 0 {
+		unit = c.set.LinksTotal / sum
+	}
+	c.racks = c.racks[:min(len(c.racks), max(c.set.Racks, 1))]
+	for len(c.racks) < max(c.set.Racks, 1) {
+		c.racks = append(c.racks, &rack{})
+	}
+	for _, r := range c.racks {
+		r.servers = r.servers[:0]
+	}
+	part := c.set.RackUplink * float64(c.set.Racks) / c.set.LinksTotal
+	links := make([]float64, len(c.racks))
+	for _, s := range c.order {
+		told := unit * float64(c.streams(s))
+		if c.set.Weights == WeightSize && s.Weight > 0 && c.set.WeightLink > 0 {
+			told = s.Weight * c.set.WeightLink
+		}
+		if s.capacity == 0 {
+			s.capacity = told
+		}
+		if s.State != Gone || len(s.held) > 0 {
+			c.racks[s.rack].servers = append(c.racks[s.rack].servers, s)
+		}
+		if s.State != Gone {
+			links[s.rack] += told
+		}
+	}
+	for i, r := range c.racks {
+		prior := 0.0
+		if c.set.Racks > 0 && c.set.LinksTotal > 0 {
+			prior = part * links[i]
+		}
+		if r.prior > 0 && prior > 0 {
+			r.capacity *= prior / r.prior
+		} else {
+			r.capacity = prior
+		}
+		r.prior = prior
+	}
+}
+
+// streams is what a server runs at most; 0 if nobody told.
+func (c *Controller) streams(s *server) int {
+	if s.Kind < 0 || s.Kind >= len(c.set.KindStreams) {
+		return 0
+	}
+	return c.set.KindStreams[s.Kind]
+}
+
+// rate is what a session asks of its link at a rung.
+func (c *Controller) rate(x *session, rung int) float64 {
+	return c.set.Ladder[rung] * x.class.RateFactor
+}
+
+// asked is the own sessions' rate at a server; viewers of one live title at one rung share a stream.
+func (c *Controller) asked(s *server) (kb float64) {
+	for i, x := range s.held {
+		kb += c.rate(x, x.rung) * c.added(x, x.rung, s.held[:i])
+	}
+	return kb
+}
+
+// added is the part of its rate that x adds beside others.
+func (c *Controller) added(x *session, rung int, beside []*session) float64 {
+	if !x.class.Live || c.set.JoinAdds <= 0 || c.set.JoinAdds >= 1 {
+		return 1
+	}
+	for _, y := range beside {
+		if y != x && y.class == x.class && y.Title == x.Title && y.rung == rung {
+			return c.set.JoinAdds
+		}
+	}
+	return 1
+}
+
+// changed records the own rate after a change at a server.
+func (c *Controller) changed(s *server) {
+	s.history = record(s.history, c.now, c.asked(s), keepHistory)
+}
+
+// fullness blends the own sessions with the reports: the others' part as last reported,
+// which fades to the fleet's mean with age, and the own part as it is now.
+func (c *Controller) fullness(s *server) float64 {
+	if s.capacity <= 0 {
+		return c.mean()
+	}
+	own := c.asked(s) / s.capacity
+	if c.set.Reports == ReportsNone {
+		return own + s.others
+	}
+	if !s.heard {
+		return max(own, c.mean())
+	}
+	say := math.Exp2(-float64(c.now-s.othersAt) / float64(oldReport))
+	return own + s.others*say + max(0, c.mean()-own)*(1-say)
+}
+
+// mean is the mean fullness of the servers heard from.
+func (c *Controller) mean() float64 {
+	sum, n := 0.0, 0.0
+	for _, s := range c.order {
+		if s.heard && s.State == Ready && s.capacity > 0 {
+			sum += s.others + c.asked(s)/s.capacity
+			n++
+		}
+	}
+	return sum / max(n, 1)
+}
+
+// uplink is the rate asked of a rack's uplink.
+func (c *Controller) uplink(r *rack) (kb float64) {
+	for _, s := range r.servers {
+		kb += c.fullness(s) * s.capacity
+	}
+	return kb
+}
+
+// room is what a server's link and its rack's uplink still give up to a fullness, in kB/s.
+func (c *Controller) room(s *server, upTo float64) float64 {
+	room := math.Inf(1)
+	if s.capacity > 0 {
+		room = (upTo - c.fullness(s)) * s.capacity
+	}
+	if r := c.racks[s.rack]; r.capacity > 0 {
+		room = min(room, upTo*r.capacity-c.uplink(r))
+	}
+	return room
+}
+
+// request takes a viewer's request and settles it at once: a set-up or a refusal.
+func (c *Controller) request(e Request) {
+	if e.Class < 0 || e.Class >= len(c.set.Classes) || c.sessions[e.ID] != nil {
+		return
+	}
+	k := &c.set.Classes[e.Class]
+	x := &session{Request: e, class: k, worth: k.Worth, rung: k.Floor, taken: c.now}
+	c.sessions[e.ID] = x
+	if e.Playing {
+		x.attempts, x.playing, x.done, x.startAt = 1, true, true, c.now
+		if s := c.known[e.Server]; s != nil {
+			s.add(x, c.now)
+			c.changed(s)
+		}
+		return
+	}
+	if c.set.BudgetSpan > 0 {
+		c.taken = append(within(c.taken, c.now, c.set.BudgetSpan), c.now)
+	}
+	if e.Tenant >= 0 && e.Tenant < len(c.set.Tenants) && c.set.Tenants[e.Tenant].Quota > 0 {
+		c.tenants[e.Tenant] = append(within(c.tenants[e.Tenant], c.now, time.Second), c.now)
+		if float64(len(c.tenants[e.Tenant])*c.set.Fronts) > max(c.set.Tenants[e.Tenant].Quota, 1) {
+			x.worth *= c.set.Over
+		}
+	}
+	c.place(x)
+}
+
+// place sends a request to a server, or ends it. The least loaded holder with room decides;
+// exceptions, each only where the one before found nobody: a holder where own sessions step
+// down to make room, then the best of the suspects whose trial is due.
+func (c *Controller) place(x *session) {
+	if c.now >= x.Due && x.Due > 0 || x.attempts > 0 && !c.mayResend(x) {
+		c.end(x)
+		return
+	}
+	lowest := c.rate(x, x.class.Floor)
+	var roomy, crowded, suspect []*server
+	for _, s := range c.order {
+		if !c.allowed(x, s) {
+			continue
+		}
+		switch room := c.room(s, admitLimit); {
+		case c.suspect(x, s):
+			suspect = append(suspect, s)
+		case room >= lowest*c.added(x, x.class.Floor, s.held):
+			roomy = append(roomy, s)
+		case room+c.spare(s) >= lowest:
+			crowded = append(crowded, s)
+		}
+	}
+	for _, group := range [][]*server{c.shared(x, roomy), crowded, c.trials(x, suspect)} {
+		if s := c.leastLoaded(x, group); s != nil {
+			c.send(x, s)
+			return
+		}
+	}
+	c.end(x)
+}
+
+// allowed keeps the rules that no load can bend: listed and ready, holder of the title, a free
+// stream, a seat, the pace of a cold server, and the group that a deduplicated set-up is bound to.
+func (c *Controller) allowed(x *session, s *server) bool {
+	if s.State != Ready || !s.holds(x.Home, x.Span, c.set.Cells) || !c.paceAllows(s) {
+		return false
+	}
+	if n := c.streams(s); n > 0 && len(s.held) >= n {
+		return false
+	}
+	if m := x.mayRan; m != nil && x.class.Effect == Deduplicated {
+		if c.now-x.mayRanAt >= x.class.Window || x.class.Scope == ScopeZone && s.Zone != m.Zone ||
+			x.class.Scope == ScopeCell && s.Cell != m.Cell {
+			return false
+		}
+	}
+	return x.class.Seats <= 0 || c.seated(x) < x.class.Seats
+}
+
+// seated counts the front's sessions of x's title and class, set-ups too.
+func (c *Controller) seated(x *session) (n int) {
+	for _, s := range c.order {
+		for _, y := range s.held {
+			if y != x && y.class == x.class && y.Title == x.Title {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// paceAllows splits the pace that a freshly started server stands over all fronts. It acts too on
+// a server that failed and may come back cold before the list says so. Harm: a server that merely
+// hung gets work back slowly.
+func (c *Controller) paceAllows(s *server) bool {
+	if c.set.Ramp <= 0 || s.fails == 0 && (s.coldFrom == 0 || c.now-s.coldFrom >= c.set.Ramp) {
+		return true
+	}
+	share := c.set.StartShare
+	if s.fails == 0 {
+		share += (1 - share) * max(0, float64(c.now-s.coldFrom)) / float64(c.set.Ramp)
+	}
+	perSecond := float64(max(c.streams(s), 1)) / c.set.Ramp.Seconds() * share * coldMargin * max(c.set.FallFactor, 1)
+	gap := time.Duration(float64(c.set.Fronts) / max(perSecond, 0.01) * float64(time.Second))
+	return s.lastSend == 0 || c.now-s.lastSend >= gap
+}
+
+// suspect judges by symptoms, whatever the cause: set-ups that failed or went unanswered, sessions
+// that broke, a standstill, or silence while others are heard. Paid set-ups stay off a server
+// until it has served again, since a doubtful end can be neither resent nor refused.
+func (c *Controller) suspect(x *session, s *server) bool {
+	if slices.Contains(x.tried, s) || c.silent(s) {
+		return true
+	}
+	return s.fails > 0 && (x.class.Effect != Idempotent || c.now < s.avoidTill || s.settingUp() > 0)
+}
+
+// silent tells a server whose notes stopped while other servers' went on. When all stop, the notes
+// are at fault and nobody is suspected.
+func (c *Controller) silent(s *server) bool {
+	if c.set.LinkNoteEvery <= 0 || len(s.held) == 0 {
+		return false
+	}
+	since := s.noteAt
+	for _, x := range s.held {
+		if x.playing && x.startAt > since {
+			since = x.startAt
+		}
+	}
+	if since == 0 || s.settingUp() == len(s.held) {
+		return false
+	}
+	limit := time.Duration(silentNotes*float64(c.set.LinkNoteEvery)) + c.set.NoteDelay
+	return c.now-since > limit && c.now-c.noted < c.set.LinkNoteEvery
+}
+
+// trials picks the suspects worth a try when nobody else is left: those left alone longest.
+func (c *Controller) trials(x *session, suspects []*server) (due []*server) {
+	if x.class.Effect == AtMostOnce {
+		return nil
+	}
+	for _, s := range suspects {
+		if c.now >= s.avoidTill && s.settingUp() == 0 || len(suspects) > 0 && !slices.Contains(x.tried, s) {
+			due = append(due, s)
+		}
+	}
+	if len(due) == 0 {
+		return suspects
+	}
+	return due
+}
+
+// shared keeps viewers of one live title together where streams can be shared.
+func (c *Controller) shared(x *session, group []*server) []*server {
+	var with []*server
+	for _, s := range group {
+		if c.added(x, x.class.Floor, s.held) < 1 {
+			with = append(with, s)
+		}
+	}
+	if len(with) > 0 {
+		return with
+	}
+	return group
+}
+
+// leastLoaded is the design's choice: the least loaded link; of links as good as equal the one in
+// the less loaded rack, with a little for the own zone; then the seed decides.
+func (c *Controller) leastLoaded(x *session, group []*server) *server {
+	least := math.Inf(1)
+	for _, s := range group {
+		least = min(least, c.fullness(s))
+	}
+	var best *server
+	bestCost := math.Inf(1)
+	for _, s := range group {
+		if c.fullness(s) > least+tieWidth {
+			continue
+		}
+		cost := c.rng.Float64() * tieWidth / 2
+		if r := c.racks[s.rack]; r.capacity > 0 {
+			cost += c.uplink(r) / r.capacity
+		}
+		if s.Zone != c.set.Zone && c.set.ZonePrice > 0 {
+			cost += zoneTie
+		}
+		if cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+// send starts an attempt at the rung that fits.
+func (c *Controller) send(x *session, s *server) {
+	if x.attempts > 0 && c.set.BudgetSpan > 0 {
+		c.further = append(within(c.further, c.now, c.set.BudgetSpan), c.now)
+	}
+	x.rung = x.class.Floor
+	s.add(x, c.now)
+	if need := -c.room(s, admitLimit); need > 0 {
+		c.stepDown(s.held, need, x)
+	}
+	top := min(x.Best, x.class.Top)
+	for x.rung < top {
+		step := c.rate(x, x.rung+1) - c.rate(x, x.rung)
+		room := c.room(s, fillTarget)
+		if step > room {
+			if !c.swap(x, s, step-max(room, 0)) {
+				break
+			}
+		} else if x.rung > x.class.Floor && step > room*startShare {
+			break
+		}
+		x.rung++
+	}
+	x.attempts++
+	x.tried = append(x.tried, s)
+	x.sentAt, s.lastSend = c.now, c.now
+	c.changed(s)
+	c.act(SetRung{x.ID, x.rung})
+	c.act(Send{x.ID, s.ID, c.patience(x)})
+}
+
+// patience is how long an attempt may go unanswered. One that may be sent again is given up early
+// enough to be served elsewhere within its aim; others wait as long as the viewer does.
+func (c *Controller) patience(x *session) time.Duration {
+	left := x.Due - c.now
+	if x.class.Effect == AtMostOnce || x.class.Aim <= 0 || c.set.MaxAttempts > 0 && x.attempts >= c.set.MaxAttempts {
+		return max(left, 0)
+	}
+	p := time.Duration(patiencePart * float64(x.class.Aim) * float64(max(x.attempts, 1)))
+	if x.Due > 0 {
+		p = min(p, left)
+	}
+	return max(p, 0)
+}
+
+// mayResend keeps the rules on further attempts: cap, budget, and effects.
+func (c *Controller) mayResend(x *session) bool {
+	if c.set.MaxAttempts > 0 && x.attempts >= c.set.MaxAttempts || x.class.Effect == AtMostOnce && x.mayRan != nil {
+		return false
+	}
+	if c.set.BudgetSpan <= 0 {
+		return true
+	}
+	c.further = within(c.further, c.now, c.set.BudgetSpan)
+	c.taken = within(c.taken, c.now, c.set.BudgetSpan)
+	return float64(len(c.further)+1) <= c.set.BudgetFree+c.set.BudgetShare*float64(len(c.taken))
+}
+
+// end answers a request that gets no further attempt: a refusal where nothing can have run or a
+// repeat does no harm, else a failure. The answer goes out at once, with advice when to return.
+func (c *Controller) end(x *session) {
+	if x.done {
+		return
+	}
+	x.done = true
+	delete(c.sessions, x.ID)
+	if x.mayRan != nil && (x.class.Effect == AtMostOnce || x.class.Effect == Deduplicated && x.class.Scope != ScopeAll) {
+		c.act(Fail{x.ID})
+		return
+	}
+	after := time.Duration(0)
+	if c.set.RetryAfter {
+		after = min(returnAdvice, c.set.MaxRetryAfter)
+	}
+	c.act(Refuse{x.ID, after})
+}
+
+func (c *Controller) started(e Started) {
+	s := c.known[e.Server]
+	if s != nil {
+		c.answers(s)
+	}
+	if x := c.sessions[e.ID]; x != nil && x.on == s {
+		x.playing, x.done, x.startAt = true, true, c.now
+	}
+}
+
+// answers clears a server that served; one that had failed counts as freshly started.
+func (c *Controller) answers(s *server) {
+	if s.fails > 0 {
+		s.coldFrom = c.now
+	}
+	s.fails, s.avoidTill = 0, 0
+}
+
+// failed marks a server and leaves it alone for a while, longer each time.
+func (c *Controller) failed(s *server) {
+	s.fails++
+	wait := min(avoidFirst<<min(s.fails-1, 10), avoidMost)
+	s.avoidTill = c.now + wait/2 + time.Duration(c.rng.Int64N(int64(wait)))
+}
+
+// ended closes an attempt, and places the request anew if it is still owed an answer.
+func (c *Controller) ended(e Ended) {
+	s, x := c.known[e.Server], c.sessions[e.ID]
+	if s != nil {
+		c.load(s, e.Load, c.now)
+	}
+	if x == nil || s == nil || x.on != s {
+		return
+	}
+	s.drop(x)
+	c.changed(s)
+	switch e.Outcome {
+	case Served:
+		c.answers(s)
+	case Full:
+		if c.set.FullFrom > 0 {
+			c.believe(s, max(c.set.FullFrom, c.fullness(s)), c.now)
+		}
+	case TimedOut, ConnectFailed, Reset, Failed:
+		if !x.playing || e.Outcome == Reset {
+			c.failed(s)
+		}
+	}
+	if e.Final || x.done {
+		x.done = true
+		delete(c.sessions, x.ID)
+		return
+	}
+	if e.Outcome != Full && e.Outcome != ConnectFailed && e.Outcome != Moot && x.mayRan == nil {
+		x.mayRan, x.mayRanAt = s, x.sentAt
+	}
+	if e.Outcome == Moot {
+		c.end(x)
+		return
+	}
+	c.place(x)
+}
+
+// left forgets a request whose viewer went away; an attempt still out keeps its place until it ends.
+func (c *Controller) left(e Left) {
+	x := c.sessions[e.ID]
+	if x == nil {
+		return
+	}
+	if x.on == nil {
+		delete(c.sessions, e.ID)
+	} else if !x.playing && !x.done && c.set.Cancel {
+		c.act(Cancel{e.ID, x.attempts - 1})
+	}
+	x.done = true
+}
+
+func (c *Controller) probed(e Probed) {
+	if s := c.known[e.Server]; s != nil {
+		s.probing = false
+		c.load(s, e.Load, c.now)
+	}
+}
+
+// load takes a load report.
+func (c *Controller) load(s *server, l *Load, when time.Duration) {
+	if l == nil {
+		return
+	}
+	if v := cmp(l.Link, l.Busy); v != nil {
+		c.believe(s, *v, when)
+	}
+	if l.Uplink != nil {
+		c.believeUplink(c.racks[s.rack], *l.Uplink, when, true)
+	}
+}
+
+func cmp(a, b *float64) *float64 {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// believe takes a reported fullness of a link as it was at a time: what is beyond the own rate
+// of that time is the others'. A report below the own part alone means a larger link.
+func (c *Controller) believe(s *server, full float64, when time.Duration) {
+	if !(full >= 0) || s.capacity <= 0 {
+		return
+	}
+	full = min(full, noMoreThan)
+	own := at(s.history, when) / s.capacity
+	if own > full && full > 0.1 {
+		s.capacity *= 1 + linkWeight*(min(own/full, 1.5)-1)
+		own = full
+	}
+	weight := reportWeight
+	if !s.heard || c.now-s.othersAt > oldReport {
+		weight = 1
+	}
+	s.others += weight * (full - own - s.others)
+	s.others = max(s.others, 0)
+	s.heard, s.othersAt, s.fresh = true, c.now, true
+}
+
+// believeUplink learns what a rack's uplink gives from its fullness at a time.
+func (c *Controller) believeUplink(r *rack, full float64, when time.Duration, told bool) {
+	if !(full > 0.05) || r.prior <= 0 {
+		return
+	}
+	ownThen, ownNow := 0.0, 0.0
+	for _, s := range r.servers {
+		ownThen += at(s.history, when)
+		ownNow += c.asked(s)
+	}
+	seen := max(c.uplink(r)+ownThen-ownNow, 0) / full
+	seen = min(max(seen, r.prior/6), r.prior*2)
+	r.capacity += uplinkWeight * (seen - r.capacity)
+	r.told, r.fresh = r.told || told, true
+}
+
+// note takes a note on a playing session. A short share is the link's doing if the link is
+// thought full, else the uplink's.
+func (c *Controller) note(e Note) {
+	s, x := c.known[e.Server], c.sessions[e.ID]
+	if s == nil {
+		return
+	}
+	then := c.now - c.set.NoteDelay
+	s.noteAt, c.noted = c.now, c.now
+	switch e.Kind {
+	case NoteRung:
+		if x != nil && x.on == s && e.Value >= 0 && int(e.Value) < len(c.set.Ladder) {
+			x.rung = int(e.Value)
+			c.changed(s)
+		}
+	case NoteLink:
+		if x != nil && c.now-x.startAt < c.set.NoteDelay {
+			then = c.now
+		}
+		c.believe(s, e.Value, then)
+	case NoteUplink:
+		if x != nil && c.now-x.startAt < c.set.NoteDelay {
+			then = c.now
+		}
+		c.believeUplink(c.racks[s.rack], e.Value, then, true)
+	case NoteShare:
+		c.shortShare(s, e.Value, then)
+	}
+}
+
+func (c *Controller) shortShare(s *server, share float64, then time.Duration) {
+	if share >= overFull || !(share >= 0) {
+		s.short = 0
+		return
+	}
+	s.short, s.shortAt = share, c.now
+	full := 1 / max(share, deadShare)
+	r := c.racks[s.rack]
+	if link := c.fullness(s); link >= 1 || r.capacity <= 0 || r.told && c.uplink(r) < r.capacity*overFull {
+		if link < full {
+			c.believe(s, full, then)
+		}
+		return
+	}
+	r.shortAt = c.now
+	if !r.told {
+		c.believeUplink(r, full, then, false)
+	}
+}
+
+// spare is what own sessions at a server could free by stepping down.
+func (c *Controller) spare(s *server) (kb float64) {
+	for _, x := range s.held {
+		if x.playing {
+			kb += c.rate(x, x.rung) - c.rate(x, min(x.rung, x.class.Floor))
+		}
+	}
+	return kb
+}
+
+// left is how long a session is thought to play on.
+func (c *Controller) remaining(x *session) float64 {
+	left := guessLength
+	if x.Length > 0 {
+		left = max(x.Length-(c.now-x.startAt), x.Length/5)
+	}
+	if !x.playing {
+		left = max(x.Length, guessLength)
+	}
+	return left.Seconds()
+}
+
+// stepLoss is the worth lost for each kB/s freed by stepping a session down once.
+func (c *Controller) stepLoss(x *session) (loss, freed float64) {
+	freed = c.rate(x, x.rung) - c.rate(x, x.rung-1)
+	loss = x.worth * ((c.set.RungWorth[x.rung]-c.set.RungWorth[x.rung-1])*c.remaining(x) + c.set.SwitchCost.Seconds())
+	return loss / max(freed, 1e-9), freed
+}
+
+// stepGain is the worth earned for each kB/s taken by stepping a session up once.
+func (c *Controller) stepGain(x *session) (gain, taken float64) {
+	taken = c.rate(x, x.rung+1) - c.rate(x, x.rung)
+	gain = (c.set.RungWorth[x.rung+1] - c.set.RungWorth[x.rung]) * c.remaining(x)
+	if x.playing {
+		if gain < switchGain*c.set.SwitchCost.Seconds() {
+			return 0, taken
+		}
+		gain -= c.set.SwitchCost.Seconds()
+	}
+	return x.worth * gain / max(taken, 1e-9), taken
+}
+
+// cheapest is the playing session whose step down costs least for what it frees.
+func (c *Controller) cheapest(held []*session, but *session) (best *session, loss, freed float64) {
+	for _, x := range held {
+		if x == but || !x.playing || x.rung <= x.class.Floor {
+			continue
+		}
+		if l, f := c.stepLoss(x); best == nil || l < loss {
+			best, loss, freed = x, l, f
+		}
+	}
+	return best, loss, freed
+}
+
+// stepDown frees a rate among own sessions; a part of a step is taken with that chance, so that
+// fronts that correct at the same moment free together what is needed.
+func (c *Controller) stepDown(held []*session, need float64, but *session) {
+	for need > 0 {
+		x, _, freed := c.cheapest(held, but)
+		if x == nil || but == nil && freed > need && c.rng.Float64()*freed > need {
+			return
+		}
+		need -= freed
+		c.setRung(x, x.rung-1)
+	}
+}
+
+func (c *Controller) setRung(x *session, rung int) {
+	x.rung = rung
+	c.act(SetRung{x.ID, rung})
+	x.on.steppedAt = c.now
+	c.changed(x.on)
+}
+
+// swap makes room for a newcomer's next rung where a step down elsewhere on the link costs clearly less.
+func (c *Controller) swap(x *session, s *server, need float64) bool {
+	gain, _ := c.stepGain(x)
+	y, loss, freed := c.cheapest(s.held, x)
+	if y == nil || freed < need || gain < swapGain*loss {
+		return false
+	}
+	c.setRung(y, y.rung-1)
+	return true
+}
+
+// regulate corrects rungs while sessions play, each front its own share, once for each new report.
+func (c *Controller) regulate() {
+	for _, r := range c.racks {
+		c.regulateUplink(r)
+	}
+	for _, s := range c.order {
+		if !s.fresh || len(s.held) == 0 || s.capacity <= 0 {
+			continue
+		}
+		s.fresh = false
+		full, own := c.fullness(s), c.asked(s)
+		if full > overFull {
+			c.stepDown(s.held, (full-fillTarget)*own/max(full, 1e-9), nil)
+			continue
+		}
+		c.stepUp(s, own)
+	}
+}
+
+func (c *Controller) regulateUplink(r *rack) {
+	if r.capacity <= 0 {
+		return
+	}
+	asked := c.uplink(r)
+	if !r.told && c.now-r.shortAt > c.set.NoteDelay+settle && asked > fillTarget*r.capacity {
+		r.capacity = min(r.capacity*uplinkGrowth, 2*r.prior)
+	}
+	if asked <= overFull*r.capacity || c.now-r.stepped < c.set.NoteDelay+settle {
+		return
+	}
+	var held []*session
+	own := 0.0
+	for _, s := range r.servers {
+		held = append(held, s.held...)
+		own += c.asked(s)
+	}
+	r.stepped = c.now
+	c.stepDown(held, (asked-fillTarget*r.capacity)*own/max(asked, 1e-9), nil)
+}
+
+// stepUp gives own sessions their part of the room that has lasted.
+func (c *Controller) stepUp(s *server, own float64) {
+	r := c.racks[s.rack]
+	if c.now-s.steppedAt < stepEvery || c.now-s.shortAt < stepEvery && s.short > 0 ||
+		c.now-r.shortAt < stepEvery && r.shortAt > 0 {
+		return
+	}
+	room := c.room(s, fillTarget)
+	mine := room * max(own/max(c.fullness(s)*s.capacity, 1e-9), 1/float64(c.set.Fronts))
+	for mine > 0 {
+		var best *session
+		var gain, taken float64
+		for _, x := range s.held {
+			if x.rung >= min(x.Best, x.class.Top) || !x.playing {
+				continue
+			}
+			if g, t := c.stepGain(x); g > gain && t <= room {
+				best, gain, taken = x, g, t
+			}
+		}
+		if best == nil || taken > mine && c.rng.Float64()*taken > mine {
+			return
+		}
+		mine, room = mine-taken, room-taken
+		c.setRung(best, best.rung+1)
+	}
+}
