Correct only the own share, once a note; uplink room from an allowance

Cause: every front stepped up at the same note, each by up to a third of the whole room and again before the next note, so links and uplinks swung between half and one and a half full. Bookkeeping moved out of control.go.

--- a/control/control.go
+++ b/control/control.go
@@ -5,7 +5,6 @@
 // choice of server, start, reports, rung changes while it plays, failure, end.
 
 import (
-	"errors"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -15,28 +14,32 @@
 // Tuned values. Fullness is the rate asked of a link or uplink over what it gives.
 const (
 	fillTarget   = 0.92                   // fullness that rungs steer to: true rates swing around the ladder's
-	overFull     = 0.98                   // fullness that calls for steps down: past it the share delivered is short
+	overFull     = 0.98                   // calls for steps down: past it the share delivered is short
 	admitLimit   = 1.0                    // fullness up to which a lowest rung is still let in
 	tieWidth     = 0.05                   // fullness: links this close count as equal, as reports are that noisy
-	zoneTie      = 0.03                   // fullness a server of another zone must be better by, at full zone price
+	zoneTie      = 0.03                   // what a server of another zone must be better by
 	startShare   = 0.7                    // part of the room left that one newcomer may take
 	swapGain     = 1.5                    // a step up must earn so many times what the step down it needs loses
 	switchGain   = 2.5                    // a step up must earn so many times the price of a switch
-	reportWeight = 0.6                    // weight of a new report against what was believed (noise of reports)
+	reportWeight = 0.8                    // weight of a new note against what was believed
+	answerWeight = 0.3                    // the same for a report in an answer: noisy, of unknown age
 	oldReport    = 12 * time.Second       // a report this old has half its say, the fleet's mean the rest
 	uplinkWeight = 0.3                    // weight of new evidence on what an uplink gives
 	uplinkGrowth = 1.01                   // per beat, regrowth of an uplink's size that no note contradicts
 	linkWeight   = 0.2                    // weight of new evidence on what a link gives
-	beat         = 500 * time.Millisecond // pace of corrections: finer than the notes, coarse against CPU
-	stepEvery    = 2 * time.Second        // between steps up on one link by one front: notes must show the last one
+	beat         = 250 * time.Millisecond // pace of corrections: finer than the notes, coarse against CPU
+	stepEvery    = 2 * time.Second        // no step up so long after a short share, nor between allowances
+	upPart       = 0.7                    // part of the own share of the room that one report lets a front take
+	unheard      = 0.6                    // fullness assumed of a fleet of which nothing is known yet
+	fullWait     = time.Second            // rest for a server that turned a set-up away for its streams
 	settle       = time.Second            // beyond the notes' delay, wait after a correction of an uplink
-	patiencePart = 0.45                   // of the aim: a set-up unanswered this long is tried elsewhere, in time
+	patiencePart = 0.45                   // of the aim: unanswered this long, a set-up is tried elsewhere
 	avoidFirst   = time.Second            // a failing server is left alone this long, doubled at each failure
 	avoidMost    = 8 * time.Second        // and this long at most, so that a mended one is soon found
-	silentNotes  = 2.5                    // missed note periods after which a server that others outlive is suspect
+	silentNotes  = 2.5                    // note periods missed by one server alone: suspect
 	deadShare    = 0.2                    // a delivered share under this is a standstill, not a full link
 	coldMargin   = 0.6                    // part of the pace a cold server stands that the fronts use together
-	guessLength  = 20 * time.Second       // time left of a session whose length nobody told, or who outlived the hint
+	guessLength  = 20 * time.Second       // time left of a session whose length nobody told
 	keepHistory  = 12 * time.Second       // own rates are remembered for late notes
 	returnAdvice = time.Second            // wait advised to a viewer who was turned away
 	noMoreThan   = 3.0                    // fullness reports are clipped here
@@ -62,30 +65,9 @@
 
 // New returns the controller of one front, or an error if the settings make no sense.
 func New(set Settings, seed uint64) (*Controller, error) {
-	if len(set.Ladder) == 0 || len(set.RungWorth) != len(set.Ladder) {
-		return nil, errors.New("control: the ladder needs a worth for each of its rungs, and one rung at least")
-	}
-	for i, kb := range set.Ladder {
-		if !(kb > 0) || (i > 0 && kb < set.Ladder[i-1]) {
-			return nil, errors.New("control: the ladder's rates must be positive and rising")
-		}
-	}
-	for _, d := range []time.Duration{set.DrainGrace, set.Ramp, set.FallSpan, set.BudgetSpan, set.NoteDelay,
-		set.LinkNoteEvery, set.SwitchCost, set.MaxRetryAfter, set.AskWithin} {
-		if d < 0 {
-			return nil, errors.New("control: a time in the settings is negative")
-		}
-	}
-	set.Classes = slices.Clone(set.Classes)
-	for i := range set.Classes {
-		k := &set.Classes[i]
-		k.Top = min(k.Top, len(set.Ladder)-1)
-		if k.RateFactor <= 0 {
-			k.RateFactor = 1
-		}
-		if k.Floor < 0 || k.Floor > k.Top || k.Aim < 0 || k.Deadline < 0 || k.Window < 0 {
-			return nil, errors.New("control: a class has no rung or a negative time: " + k.Name)
-		}
+	set, err := checked(set)
+	if err != nil {
+		return nil, err
 	}
 	set.Fronts = max(set.Fronts, 1)
 	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), known: map[string]*server{},
@@ -210,45 +192,6 @@
 	}
 }
 
-// streams is what a server runs at most; 0 if nobody told.
-func (c *Controller) streams(s *server) int {
-	if s.Kind < 0 || s.Kind >= len(c.set.KindStreams) {
-		return 0
-	}
-	return c.set.KindStreams[s.Kind]
-}
-
-// rate is what a session asks of its link at a rung.
-func (c *Controller) rate(x *session, rung int) float64 {
-	return c.set.Ladder[rung] * x.class.RateFactor
-}
-
-// asked is the own sessions' rate at a server; viewers of one live title at one rung share a stream.
-func (c *Controller) asked(s *server) (kb float64) {
-	for i, x := range s.held {
-		kb += c.rate(x, x.rung) * c.added(x, x.rung, s.held[:i])
-	}
-	return kb
-}
-
-// added is the part of its rate that x adds beside others.
-func (c *Controller) added(x *session, rung int, beside []*session) float64 {
-	if !x.class.Live || c.set.JoinAdds <= 0 || c.set.JoinAdds >= 1 {
-		return 1
-	}
-	for _, y := range beside {
-		if y != x && y.class == x.class && y.Title == x.Title && y.rung == rung {
-			return c.set.JoinAdds
-		}
-	}
-	return 1
-}
-
-// changed records the own rate after a change at a server.
-func (c *Controller) changed(s *server) {
-	s.history = record(s.history, c.now, c.asked(s), keepHistory)
-}
-
 // fullness blends the own sessions with the reports: the others' part as last reported,
 // which fades to the fleet's mean with age, and the own part as it is now.
 func (c *Controller) fullness(s *server) float64 {
@@ -260,30 +203,31 @@
 		return own + s.others
 	}
 	if !s.heard {
-		return max(own, c.mean())
+		return own + c.mean()*float64(c.set.Fronts-1)/float64(c.set.Fronts)
 	}
 	say := math.Exp2(-float64(c.now-s.othersAt) / float64(oldReport))
 	return own + s.others*say + max(0, c.mean()-own)*(1-say)
 }
 
-// mean is the mean fullness of the servers heard from.
+// mean is the mean fullness of the servers heard from; before any was, the own sessions times the
+// number of fronts, or a guess where a front knows of none.
 func (c *Controller) mean() float64 {
-	sum, n := 0.0, 0.0
+	sum, n, own, all := 0.0, 0.0, 0.0, 0.0
 	for _, s := range c.order {
-		if s.heard && s.State == Ready && s.capacity > 0 {
-			sum += s.others + c.asked(s)/s.capacity
-			n++
+		if s.State == Ready && s.capacity > 0 {
+			own, all = own+c.asked(s), all+s.capacity
+			if s.heard {
+				sum, n = sum+s.others+c.asked(s)/s.capacity, n+1
+			}
 		}
 	}
-	return sum / max(n, 1)
-}
-
-// uplink is the rate asked of a rack's uplink.
-func (c *Controller) uplink(r *rack) (kb float64) {
-	for _, s := range r.servers {
-		kb += c.fullness(s) * s.capacity
+	switch {
+	case n > 0:
+		return sum / n
+	case own > 0:
+		return own * float64(c.set.Fronts) / all
 	}
-	return kb
+	return unheard
 }
 
 // room is what a server's link and its rack's uplink still give up to a fullness, in kB/s.
@@ -364,7 +308,7 @@
 	if s.State != Ready || !s.holds(x.Home, x.Span, c.set.Cells) || !c.paceAllows(s) {
 		return false
 	}
-	if n := c.streams(s); n > 0 && len(s.held) >= n {
+	if n := c.streams(s); n > 0 && s.otherStreams+len(s.held) >= n || c.now < s.fullTill {
 		return false
 	}
 	if m := x.mayRan; m != nil && x.class.Effect == Deduplicated {
@@ -376,18 +320,6 @@
 	return x.class.Seats <= 0 || c.seated(x) < x.class.Seats
 }
 
-// seated counts the front's sessions of x's title and class, set-ups too.
-func (c *Controller) seated(x *session) (n int) {
-	for _, s := range c.order {
-		for _, y := range s.held {
-			if y != x && y.class == x.class && y.Title == x.Title {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // paceAllows splits the pace that a freshly started server stands over all fronts. It acts too on
 // a server that failed and may come back cold before the list says so. Harm: a server that merely
 // hung gets work back slowly.
@@ -399,7 +331,8 @@
 	if s.fails == 0 {
 		share += (1 - share) * max(0, float64(c.now-s.coldFrom)) / float64(c.set.Ramp)
 	}
-	perSecond := float64(max(c.streams(s), 1)) / c.set.Ramp.Seconds() * share * coldMargin * max(c.set.FallFactor, 1)
+	perSecond := float64(max(c.streams(s), 1)) / c.set.Ramp.Seconds() * share
+	perSecond *= coldMargin * max(c.set.FallFactor, 1)
 	gap := time.Duration(float64(c.set.Fronts) / max(perSecond, 0.01) * float64(time.Second))
 	return s.lastSend == 0 || c.now-s.lastSend >= gap
 }
@@ -525,7 +458,8 @@
 // enough to be served elsewhere within its aim; others wait as long as the viewer does.
 func (c *Controller) patience(x *session) time.Duration {
 	left := x.Due - c.now
-	if x.class.Effect == AtMostOnce || x.class.Aim <= 0 || c.set.MaxAttempts > 0 && x.attempts >= c.set.MaxAttempts {
+	last := c.set.MaxAttempts > 0 && x.attempts >= c.set.MaxAttempts
+	if x.class.Effect == AtMostOnce || x.class.Aim <= 0 || last {
 		return max(left, 0)
 	}
 	p := time.Duration(patiencePart * float64(x.class.Aim) * float64(max(x.attempts, 1)))
@@ -537,7 +471,10 @@
 
 // mayResend keeps the rules on further attempts: cap, budget, and effects.
 func (c *Controller) mayResend(x *session) bool {
-	if c.set.MaxAttempts > 0 && x.attempts >= c.set.MaxAttempts || x.class.Effect == AtMostOnce && x.mayRan != nil {
+	if c.set.MaxAttempts > 0 && x.attempts >= c.set.MaxAttempts {
+		return false
+	}
+	if x.class.Effect == AtMostOnce && x.mayRan != nil {
 		return false
 	}
 	if c.set.BudgetSpan <= 0 {
@@ -556,7 +493,8 @@
 	}
 	x.done = true
 	delete(c.sessions, x.ID)
-	if x.mayRan != nil && (x.class.Effect == AtMostOnce || x.class.Effect == Deduplicated && x.class.Scope != ScopeAll) {
+	k := x.class
+	if x.mayRan != nil && (k.Effect == AtMostOnce || k.Effect == Deduplicated && k.Scope != ScopeAll) {
 		c.act(Fail{x.ID})
 		return
 	}
@@ -608,7 +546,9 @@
 		c.answers(s)
 	case Full:
 		if c.set.FullFrom > 0 {
-			c.believe(s, max(c.set.FullFrom, c.fullness(s)), c.now)
+			c.believe(s, max(c.set.FullFrom, c.fullness(s)), c.now, reportWeight)
+		} else {
+			s.fullTill = c.now + fullWait
 		}
 	case TimedOut, ConnectFailed, Reset, Failed:
 		if !x.playing || e.Outcome == Reset {
@@ -657,23 +597,20 @@
 		return
 	}
 	if v := cmp(l.Link, l.Busy); v != nil {
-		c.believe(s, *v, when)
+		c.believe(s, *v, when, answerWeight)
+		s.fresh = s.fresh || c.set.LinkNoteEvery == 0
 	}
-	if l.Uplink != nil {
-		c.believeUplink(c.racks[s.rack], *l.Uplink, when, true)
+	if l.Streams != nil {
+		s.otherStreams = max(int(*l.Streams+0.5)-len(s.held), 0)
 	}
-}
-
-func cmp(a, b *float64) *float64 {
-	if a != nil {
-		return a
+	if l.Uplink != nil {
+		c.believeUplink(c.racks[s.rack], *l.Uplink, when, true, false)
 	}
-	return b
 }
 
 // believe takes a reported fullness of a link as it was at a time: what is beyond the own rate
 // of that time is the others'. A report below the own part alone means a larger link.
-func (c *Controller) believe(s *server, full float64, when time.Duration) {
+func (c *Controller) believe(s *server, full float64, when time.Duration, weight float64) {
 	if !(full >= 0) || s.capacity <= 0 {
 		return
 	}
@@ -683,17 +620,16 @@
 		s.capacity *= 1 + linkWeight*(min(own/full, 1.5)-1)
 		own = full
 	}
-	weight := reportWeight
 	if !s.heard || c.now-s.othersAt > oldReport {
 		weight = 1
 	}
 	s.others += weight * (full - own - s.others)
 	s.others = max(s.others, 0)
-	s.heard, s.othersAt, s.fresh = true, c.now, true
+	s.heard, s.othersAt = true, c.now
 }
 
 // believeUplink learns what a rack's uplink gives from its fullness at a time.
-func (c *Controller) believeUplink(r *rack, full float64, when time.Duration, told bool) {
+func (c *Controller) believeUplink(r *rack, full float64, when time.Duration, told, note bool) {
 	if !(full > 0.05) || r.prior <= 0 {
 		return
 	}
@@ -705,7 +641,7 @@
 	seen := max(c.uplink(r)+ownThen-ownNow, 0) / full
 	seen = min(max(seen, r.prior/6), r.prior*2)
 	r.capacity += uplinkWeight * (seen - r.capacity)
-	r.told, r.fresh = r.told || told, true
+	r.told, r.fresh = r.told || told, r.fresh || note || c.set.LinkNoteEvery == 0
 }
 
 // note takes a note on a playing session. A short share is the link's doing if the link is
@@ -725,47 +661,40 @@
 		}
 	case NoteLink:
 		if x != nil && c.now-x.startAt < c.set.NoteDelay {
-			then = c.now
+			c.believe(s, e.Value, c.now, reportWeight)
+			return
 		}
-		c.believe(s, e.Value, then)
+		c.believe(s, e.Value, then, reportWeight)
+		s.fresh = true
 	case NoteUplink:
 		if x != nil && c.now-x.startAt < c.set.NoteDelay {
 			then = c.now
 		}
-		c.believeUplink(c.racks[s.rack], e.Value, then, true)
+		c.believeUplink(c.racks[s.rack], e.Value, then, true, true)
 	case NoteShare:
 		c.shortShare(s, e.Value, then)
 	}
 }
 
 func (c *Controller) shortShare(s *server, share float64, then time.Duration) {
-	if share >= overFull || !(share >= 0) {
-		s.short = 0
+	if !(share >= 0) {
 		return
 	}
-	s.short, s.shortAt = share, c.now
+	s.shortAt = c.now
 	full := 1 / max(share, deadShare)
 	r := c.racks[s.rack]
-	if link := c.fullness(s); link >= 1 || r.capacity <= 0 || r.told && c.uplink(r) < r.capacity*overFull {
-		if link < full {
-			c.believe(s, full, then)
+	if link := c.fullness(s); link >= overFull || r.capacity <= 0 || r.told {
+		if link >= overFull && share < overFull && link < full {
+			c.believe(s, full, then, reportWeight)
+			s.fresh = true
 		}
 		return
 	}
-	r.shortAt = c.now
-	if !r.told {
-		c.believeUplink(r, full, then, false)
-	}
-}
-
-// spare is what own sessions at a server could free by stepping down.
-func (c *Controller) spare(s *server) (kb float64) {
-	for _, x := range s.held {
-		if x.playing {
-			kb += c.rate(x, x.rung) - c.rate(x, min(x.rung, x.class.Floor))
-		}
+	r.mending = share >= r.short+0.02 && c.now-r.shortAt < stepEvery
+	r.short, r.shortAt = share, c.now
+	if share < overFull && !r.mending {
+		c.believeUplink(r, full, then, false, true)
 	}
-	return kb
 }
 
 // left is how long a session is thought to play on.
@@ -783,7 +712,8 @@
 // stepLoss is the worth lost for each kB/s freed by stepping a session down once.
 func (c *Controller) stepLoss(x *session) (loss, freed float64) {
 	freed = c.rate(x, x.rung) - c.rate(x, x.rung-1)
-	loss = x.worth * ((c.set.RungWorth[x.rung]-c.set.RungWorth[x.rung-1])*c.remaining(x) + c.set.SwitchCost.Seconds())
+	worth := c.set.RungWorth[x.rung] - c.set.RungWorth[x.rung-1]
+	loss = x.worth * (worth*c.remaining(x) + c.set.SwitchCost.Seconds())
 	return loss / max(freed, 1e-9), freed
 }
 
@@ -829,7 +759,6 @@
 func (c *Controller) setRung(x *session, rung int) {
 	x.rung = rung
 	c.act(SetRung{x.ID, rung})
-	x.on.steppedAt = c.now
 	c.changed(x.on)
 }
 
@@ -844,7 +773,9 @@
 	return true
 }
 
-// regulate corrects rungs while sessions play, each front its own share, once for each new report.
+// regulate corrects rungs while sessions play. All fronts hear of a link at the same moment, so each
+// corrects its own share of what is over or free, once for each report, and then believes that the
+// others did likewise until the next one tells.
 func (c *Controller) regulate() {
 	for _, r := range c.racks {
 		c.regulateUplink(r)
@@ -854,45 +785,58 @@
 			continue
 		}
 		s.fresh = false
-		full, own := c.fullness(s), c.asked(s)
+		full, own := c.fullness(s), c.asked(s)/s.capacity
 		if full > overFull {
-			c.stepDown(s.held, (full-fillTarget)*own/max(full, 1e-9), nil)
-			continue
+			c.stepDown(s.held, (full-fillTarget)*own/full*s.capacity, nil)
+			s.others *= fillTarget / full
+		} else if c.now-s.shortAt > stepEvery && full < fillTarget {
+			mine := (fillTarget - full) * s.capacity * upPart * own / max(full, 1e-9)
+			taken := c.stepUp(s, min(mine, c.racks[s.rack].allowance))
+			c.racks[s.rack].allowance -= taken
+			s.others += taken / s.capacity * max(full-own, 0) / max(own, 1e-9)
 		}
-		c.stepUp(s, own)
 	}
 }
 
+// regulateUplink does the same for a rack's uplink: steps down at once, then waits until the notes can
+// show it; steps up are left to the links, out of an allowance that is this front's share of the room.
 func (c *Controller) regulateUplink(r *rack) {
 	if r.capacity <= 0 {
+		r.allowance = math.Inf(1)
 		return
 	}
-	asked := c.uplink(r)
-	if !r.told && c.now-r.shortAt > c.set.NoteDelay+settle && asked > fillTarget*r.capacity {
-		r.capacity = min(r.capacity*uplinkGrowth, 2*r.prior)
-	}
-	if asked <= overFull*r.capacity || c.now-r.stepped < c.set.NoteDelay+settle {
-		return
-	}
+	asked, own := c.uplink(r), 0.0
 	var held []*session
-	own := 0.0
 	for _, s := range r.servers {
 		held = append(held, s.held...)
 		own += c.asked(s)
 	}
-	r.stepped = c.now
-	c.stepDown(held, (asked-fillTarget*r.capacity)*own/max(asked, 1e-9), nil)
-}
-
-// stepUp gives own sessions their part of the room that has lasted.
-func (c *Controller) stepUp(s *server, own float64) {
-	r := c.racks[s.rack]
-	if c.now-s.steppedAt < stepEvery || c.now-s.shortAt < stepEvery && s.short > 0 ||
-		c.now-r.shortAt < stepEvery && r.shortAt > 0 {
+	short := r.short < overFull && c.now-r.shortAt < stepEvery
+	if !r.told && !short && asked > fillTarget*r.capacity {
+		r.capacity = min(r.capacity*uplinkGrowth, 2*r.prior)
+	}
+	if c.now-r.stepped < c.set.NoteDelay+settle {
 		return
 	}
+	if r.fresh && asked > overFull*r.capacity && !r.mending {
+		r.stepped, r.allowance = c.now, 0
+		c.stepDown(held, (asked-fillTarget*r.capacity)*own/asked, nil)
+		for _, s := range r.servers {
+			s.others *= fillTarget * r.capacity / asked
+		}
+	} else if c.now-r.allowed >= max(c.set.LinkNoteEvery, stepEvery) {
+		r.allowed, r.allowance = c.now, 0
+		if !short {
+			r.allowance = max(fillTarget*r.capacity-asked, 0) * upPart * own / max(asked, 1e-9)
+		}
+	}
+	r.fresh = false
+}
+
+// stepUp spends a rate on the own sessions that gain most by it, and returns what it spent. A step
+// larger than what is left is taken with that chance.
+func (c *Controller) stepUp(s *server, mine float64) (spent float64) {
 	room := c.room(s, fillTarget)
-	mine := room * max(own/max(c.fullness(s)*s.capacity, 1e-9), 1/float64(c.set.Fronts))
 	for mine > 0 {
 		var best *session
 		var gain, taken float64
@@ -905,9 +849,10 @@
 			}
 		}
 		if best == nil || taken > mine && c.rng.Float64()*taken > mine {
-			return
+			break
 		}
-		mine, room = mine-taken, room-taken
+		mine, room, spent = mine-taken, room-taken, spent+taken
 		c.setRung(best, best.rung+1)
 	}
+	return spent
 }
--- a/control/state.go
+++ b/control/state.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -14,21 +15,19 @@
 	held     []*session // from Send (or hand-over) to Ended, in order of arrival
 	history  []sample   // own rate asked, oldest first
 
-	others     float64 // rest of the link's fullness, beyond the own sessions
-	othersAt   time.Duration
-	heard      bool // others was ever reported
-	fresh      bool // a report came since the last correction
-	strange    float64
-	shortAt    time.Duration // last note of a short share
-	short      float64       // and its value
-	noteAt     time.Duration // last note of any kind
-	steppedAt  time.Duration
-	fails      int // set-ups and sessions lost in a row
-	avoidTill  time.Duration
-	coldFrom   time.Duration // 0: warm
-	lastSend   time.Duration
-	probing    bool
-	everFailed bool
+	others       float64 // rest of the link's fullness, beyond the own sessions
+	othersAt     time.Duration
+	heard        bool // others was ever reported
+	fresh        bool // a report came since the last correction
+	otherStreams int
+	fullTill     time.Duration // turned a set-up away for its streams
+	shortAt      time.Duration // last note of a share
+	noteAt       time.Duration // last note of any kind
+	fails        int           // set-ups and sessions lost in a row
+	avoidTill    time.Duration
+	coldFrom     time.Duration // 0: warm
+	lastSend     time.Duration
+	probing      bool
 }
 
 type sample struct {
@@ -56,14 +55,17 @@
 
 // rack is the shared uplink of some servers.
 type rack struct {
-	servers  []*server
-	capacity float64 // kB/s, as learned
-	prior    float64 // kB/s, from the settings
-	told     bool    // its fullness is reported
-	fresh    bool
-	shortAt  time.Duration
-	stepped  time.Duration
-	asked    []sample
+	servers   []*server
+	capacity  float64 // kB/s, as learned
+	prior     float64 // kB/s, from the settings
+	told      bool    // its fullness is reported
+	fresh     bool
+	shortAt   time.Duration
+	short     float64 // last share that pointed at the uplink
+	mending   bool    // the share rises already
+	stepped   time.Duration
+	allowed   time.Duration // last time that allowance was set
+	allowance float64       // kB/s that own sessions may still step up by
 }
 
 func (s *server) add(x *session, now time.Duration) {
@@ -151,3 +153,109 @@
 	}
 	return ((s.Cell-home)%cells+cells)%cells < span
 }
+
+// streams is what a server runs at most; 0 if nobody told.
+func (c *Controller) streams(s *server) int {
+	if s.Kind < 0 || s.Kind >= len(c.set.KindStreams) {
+		return 0
+	}
+	return c.set.KindStreams[s.Kind]
+}
+
+// rate is what a session asks of its link at a rung.
+func (c *Controller) rate(x *session, rung int) float64 {
+	return c.set.Ladder[rung] * x.class.RateFactor
+}
+
+// asked is the own sessions' rate at a server; viewers of one live title at one rung share a stream.
+func (c *Controller) asked(s *server) (kb float64) {
+	for i, x := range s.held {
+		kb += c.rate(x, x.rung) * c.added(x, x.rung, s.held[:i])
+	}
+	return kb
+}
+
+// added is the part of its rate that x adds beside others.
+func (c *Controller) added(x *session, rung int, beside []*session) float64 {
+	if !x.class.Live || c.set.JoinAdds <= 0 || c.set.JoinAdds >= 1 {
+		return 1
+	}
+	for _, y := range beside {
+		if y != x && y.class == x.class && y.Title == x.Title && y.rung == rung {
+			return c.set.JoinAdds
+		}
+	}
+	return 1
+}
+
+// changed records the own rate after a change at a server.
+func (c *Controller) changed(s *server) {
+	s.history = record(s.history, c.now, c.asked(s), keepHistory)
+}
+
+// uplink is the rate asked of a rack's uplink.
+func (c *Controller) uplink(r *rack) (kb float64) {
+	for _, s := range r.servers {
+		kb += c.fullness(s) * s.capacity
+	}
+	return kb
+}
+
+// seated counts the front's sessions of x's title and class, set-ups too.
+func (c *Controller) seated(x *session) (n int) {
+	for _, s := range c.order {
+		for _, y := range s.held {
+			if y != x && y.class == x.class && y.Title == x.Title {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// spare is what own sessions at a server could free by stepping down.
+func (c *Controller) spare(s *server) (kb float64) {
+	for _, x := range s.held {
+		if x.playing {
+			kb += c.rate(x, x.rung) - c.rate(x, min(x.rung, x.class.Floor))
+		}
+	}
+	return kb
+}
+
+func cmp(a, b *float64) *float64 {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// checked returns the settings with gaps filled, or what makes no sense in them.
+func checked(set Settings) (Settings, error) {
+	if len(set.Ladder) == 0 || len(set.RungWorth) != len(set.Ladder) {
+		return set, errors.New("control: the ladder needs a worth for each of its rungs, and one rung at least")
+	}
+	for i, kb := range set.Ladder {
+		if !(kb > 0) || (i > 0 && kb < set.Ladder[i-1]) {
+			return set, errors.New("control: the ladder's rates must be positive and rising")
+		}
+	}
+	for _, d := range []time.Duration{set.DrainGrace, set.Ramp, set.FallSpan, set.BudgetSpan, set.NoteDelay,
+		set.LinkNoteEvery, set.SwitchCost, set.MaxRetryAfter, set.AskWithin} {
+		if d < 0 {
+			return set, errors.New("control: a time in the settings is negative")
+		}
+	}
+	set.Classes = slices.Clone(set.Classes)
+	for i := range set.Classes {
+		k := &set.Classes[i]
+		k.Top = min(k.Top, len(set.Ladder)-1)
+		if k.RateFactor <= 0 {
+			k.RateFactor = 1
+		}
+		if k.Floor < 0 || k.Floor > k.Top || k.Aim < 0 || k.Deadline < 0 || k.Window < 0 {
+			return set, errors.New("control: a class has no rung or a negative time: " + k.Name)
+		}
+	}
+	return set, nil
+}
