--- a/control/control.go
+++ b/control/control.go
@@ -13,19 +13,20 @@
 
 // Tuned values. Fullness is the rate asked of a link or uplink over what it gives.
 const (
-	fillTarget   = 0.92                   // fullness that rungs steer to: true rates swing around the ladder's
+	fillTarget   = 0.90                   // fullness that steps down steer to: true rates swing around the ladder's
+	riseTarget   = 0.88                   // fullness that steps up and newcomers fill to: crowds come unannounced
 	overFull     = 0.98                   // calls for steps down: past it the share delivered is short
 	admitLimit   = 1.0                    // fullness up to which a lowest rung is still let in
 	tieWidth     = 0.05                   // fullness: links this close count as equal, as reports are that noisy
 	zoneTie      = 0.03                   // what a server of another zone must be better by
-	startShare   = 0.7                    // part of the room left that one newcomer may take
+	startShare   = 0.5                    // part of the room left that one newcomer may take
 	swapGain     = 1.5                    // a step up must earn so many times what the step down it needs loses
 	switchGain   = 2.5                    // a step up must earn so many times the price of a switch
 	reportWeight = 0.8                    // weight of a new note against what was believed
 	answerWeight = 0.3                    // the same for a report in an answer: noisy, of unknown age
 	oldReport    = 12 * time.Second       // a report this old has half its say, the fleet's mean the rest
 	uplinkWeight = 0.3                    // weight of new evidence on what an uplink gives
-	uplinkGrowth = 1.01                   // per beat, regrowth of an uplink's size that no note contradicts
+	uplinkGrowth = 1.002                  // per beat, regrowth of an uplink's size that no note contradicts
 	linkWeight   = 0.2                    // weight of new evidence on what a link gives
 	beat         = 250 * time.Millisecond // pace of corrections: finer than the notes, coarse against CPU
 	stepEvery    = 2 * time.Second        // no step up so long after a short share, nor between allowances
@@ -232,14 +233,19 @@
 
 // room is what a server's link and its rack's uplink still give up to a fullness, in kB/s.
 func (c *Controller) room(s *server, upTo float64) float64 {
-	room := math.Inf(1)
+	link, uplink := c.rooms(s, upTo)
+	return min(link, uplink)
+}
+
+func (c *Controller) rooms(s *server, upTo float64) (link, uplink float64) {
+	link, uplink = math.Inf(1), math.Inf(1)
 	if s.capacity > 0 {
-		room = (upTo - c.fullness(s)) * s.capacity
+		link = (upTo - c.fullness(s)) * s.capacity
 	}
 	if r := c.racks[s.rack]; r.capacity > 0 {
-		room = min(room, upTo*r.capacity-c.uplink(r))
+		uplink = upTo*r.capacity - c.uplink(r)
 	}
-	return room
+	return link, uplink
 }
 
 // request takes a viewer's request and settles it at once: a set-up or a refusal.
@@ -436,12 +442,9 @@
 	top := min(x.Best, x.class.Top)
 	for x.rung < top {
 		step := c.rate(x, x.rung+1) - c.rate(x, x.rung)
-		room := c.room(s, fillTarget)
-		if step > room {
-			if !c.swap(x, s, step-max(room, 0)) {
-				break
-			}
-		} else if x.rung > x.class.Floor && step > room*startShare {
+		link, uplink := c.rooms(s, riseTarget)
+		room := min(link*startShare, uplink*max(startShare/4, 1/float64(c.set.Fronts)))
+		if step > room && !c.swap(x, s, step-max(room, 0)) {
 			break
 		}
 		x.rung++
@@ -789,8 +792,8 @@
 		if full > overFull {
 			c.stepDown(s.held, (full-fillTarget)*own/full*s.capacity, nil)
 			s.others *= fillTarget / full
-		} else if c.now-s.shortAt > stepEvery && full < fillTarget {
-			mine := (fillTarget - full) * s.capacity * upPart * own / max(full, 1e-9)
+		} else if c.now-s.shortAt > stepEvery && full < riseTarget {
+			mine := (riseTarget - full) * s.capacity * upPart * own / max(full, 1e-9)
 			taken := c.stepUp(s, min(mine, c.racks[s.rack].allowance))
 			c.racks[s.rack].allowance -= taken
 			s.others += taken / s.capacity * max(full-own, 0) / max(own, 1e-9)
@@ -827,7 +830,7 @@
 	} else if c.now-r.allowed >= max(c.set.LinkNoteEvery, stepEvery) {
 		r.allowed, r.allowance = c.now, 0
 		if !short {
-			r.allowance = max(fillTarget*r.capacity-asked, 0) * upPart * own / max(asked, 1e-9)
+			r.allowance = max(riseTarget*r.capacity-asked, 0) * upPart * own / max(asked, 1e-9)
 		}
 	}
 	r.fresh = false
@@ -836,7 +839,7 @@
 // stepUp spends a rate on the own sessions that gain most by it, and returns what it spent. A step
 // larger than what is left is taken with that chance.
 func (c *Controller) stepUp(s *server, mine float64) (spent float64) {
-	room := c.room(s, fillTarget)
+	room := c.room(s, riseTarget)
 	for mine > 0 {
 		var best *session
 		var gain, taken float64
