--- a/control/control.go
+++ b/control/control.go
@@ -13,33 +13,33 @@
 
 // Tuned values. Fullness is the rate asked of a link or uplink over what it gives.
 const (
-	fillTarget   = 0.90                   // fullness that steps down steer to: true rates swing around the ladder's
-	riseTarget   = 0.88                   // fullness that steps up and newcomers fill to: crowds come unannounced
+	fillTarget   = 0.90                   // steps down aim here: true rates swing around the ladder's
+	riseTarget   = 0.88                   // steps up and newcomers fill to this: crowds come unannounced
 	overFull     = 0.98                   // calls for steps down: past it the share delivered is short
 	admitLimit   = 1.0                    // fullness up to which a lowest rung is still let in
-	tieWidth     = 0.05                   // fullness: links this close count as equal, as reports are that noisy
+	tieWidth     = 0.05                   // fullness: links this close count as equal: reports are that noisy
 	zoneTie      = 0.03                   // what a server of another zone must be better by
 	startShare   = 0.5                    // part of the room left that one newcomer may take
-	swapGain     = 1.5                    // a step up must earn so many times what the step down it needs loses
+	swapGain     = 1.5                    // a step up must earn so many times what its step down loses
 	switchGain   = 2.5                    // a step up must earn so many times the price of a switch
 	reportWeight = 0.8                    // weight of a new note against what was believed
-	answerWeight = 0.3                    // the same for a report in an answer: noisy, of unknown age
+	answerWeight = 0.3                    // the same for a report in an answer: noisy, its age unknown
 	oldReport    = 12 * time.Second       // a report this old has half its say, the fleet's mean the rest
 	uplinkWeight = 0.3                    // weight of new evidence on what an uplink gives
-	uplinkGrowth = 1.002                  // per beat, regrowth of an uplink's size that no note contradicts
+	uplinkGrowth = 1.002                  // per beat, regrowth of an uplink that no note contradicts
 	linkWeight   = 0.2                    // weight of new evidence on what a link gives
 	beat         = 250 * time.Millisecond // pace of corrections: finer than the notes, coarse against CPU
 	stepEvery    = 2 * time.Second        // no step up so long after a short share, nor between allowances
-	upPart       = 0.7                    // part of the own share of the room that one report lets a front take
+	upPart       = 0.7                    // part of its share of the room a front takes at one report
 	unheard      = 0.6                    // fullness assumed of a fleet of which nothing is known yet
-	fullWait     = time.Second            // rest for a server that turned a set-up away for its streams
+	fullWait     = time.Second            // rest for a server that has no stream free
 	settle       = time.Second            // beyond the notes' delay, wait after a correction of an uplink
 	patiencePart = 0.45                   // of the aim: unanswered this long, a set-up is tried elsewhere
-	avoidFirst   = time.Second            // a failing server is left alone this long, doubled at each failure
-	avoidMost    = 8 * time.Second        // and this long at most, so that a mended one is soon found
+	avoidFirst   = time.Second            // rest for a failing server, doubled at each failure
+	avoidMost    = 8 * time.Second        // and at most this, so that a mended one is soon found
 	silentNotes  = 2.5                    // note periods missed by one server alone: suspect
 	deadShare    = 0.2                    // a delivered share under this is a standstill, not a full link
-	coldMargin   = 0.6                    // part of the pace a cold server stands that the fronts use together
+	coldMargin   = 0.6                    // part of what a cold server stands that the fronts use
 	guessLength  = 20 * time.Second       // time left of a session whose length nobody told
 	keepHistory  = 12 * time.Second       // own rates are remembered for late notes
 	returnAdvice = time.Second            // wait advised to a viewer who was turned away
@@ -392,7 +392,7 @@
 func (c *Controller) shared(x *session, group []*server) []*server {
 	var with []*server
 	for _, s := range group {
-		if c.added(x, x.class.Floor, s.held) < 1 {
+		if c.stream(x, s) != nil {
 			with = append(with, s)
 		}
 	}
@@ -440,6 +440,9 @@
 		c.stepDown(s.held, need, x)
 	}
 	top := min(x.Best, x.class.Top)
+	if y := c.stream(x, s); y != nil && y.rung <= top {
+		x.rung, top = y.rung, y.rung
+	}
 	for x.rung < top {
 		step := c.rate(x, x.rung+1) - c.rate(x, x.rung)
 		link, uplink := c.rooms(s, riseTarget)
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,576 @@
+package control
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// settings is a fleet of six cells in two racks, three fronts and the three effects.
+func settings() Settings {
+	return Settings{
+		Fronts: 3, Ladder: []float64{100, 200, 400}, RungWorth: []float64{0.3, 0.6, 1},
+		Cells: 6, Racks: 2, KindStreams: []int{20}, LinksTotal: 12000, WeightLink: 2000, Weights: WeightSize,
+		NoteDelay: time.Second, LinkNoteEvery: 3 * time.Second, SwitchCost: 500 * ms,
+		Reports: ReportsInAnswers, Cancel: true, RetryAfter: true, MaxAttempts: 4, MaxRetryAfter: 500 * ms,
+		DrainGrace: time.Second, Ramp: 10 * time.Second, StartShare: 0.4, FallFactor: 2.5, FallSpan: 1500 * ms,
+		Classes: []Class{
+			{Name: "plain", Worth: 1, Top: 2, Aim: time.Second, Deadline: 4 * time.Second},
+			{Name: "paid", Worth: 2, Top: 2, Floor: 1, Aim: time.Second, Deadline: 4 * time.Second, Effect: AtMostOnce},
+			{Name: "once", Worth: 1, Top: 2, Aim: time.Second, Deadline: 4 * time.Second, Effect: Deduplicated,
+				Scope: ScopeZone, Window: 2 * time.Second},
+			{Name: "seated", Worth: 1, Top: 2, Aim: time.Second, Deadline: 4 * time.Second, Seats: 2},
+		},
+	}
+}
+
+// front drives one controller.
+type front struct {
+	t   *testing.T
+	c   *Controller
+	now time.Duration
+}
+
+func start(t *testing.T, set Settings, servers ...Server) *front {
+	t.Helper()
+	c, err := New(set, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &front{t, c, 100 * time.Second}
+	if servers == nil {
+		for i := range 6 {
+			servers = append(servers, Server{ID: fmt.Sprint("s", i), Zone: i % 3, Cell: i, State: Ready, Weight: 1})
+		}
+	}
+	f.step(ListUpdate{Whole: true, Servers: servers})
+	return f
+}
+
+func (f *front) step(events ...Event) []Action { return f.c.Step(f.now, events) }
+
+func (f *front) ask(id string, class int) []Action {
+	return f.step(Request{ID: id, Class: class, Title: 1, Home: 0, Span: 6, Best: 2, Due: f.now + 4*time.Second})
+}
+
+// link reports each server's link fullness.
+func (f *front) link(full ...float64) {
+	for i, v := range full {
+		f.step(Note{Server: fmt.Sprint("s", i), Kind: NoteLink, Value: v})
+	}
+}
+
+func find[A Action](out []Action) (found A, ok bool) {
+	for _, a := range out {
+		if a, is := a.(A); is {
+			return a, true
+		}
+	}
+	return found, false
+}
+
+func (f *front) sent(out []Action) string {
+	s, _ := find[Send](out)
+	return s.Server
+}
+
+func (f *front) play(id string, class int) string {
+	f.t.Helper()
+	s := f.sent(f.ask(id, class))
+	if s == "" {
+		f.t.Fatalf("%s was not sent", id)
+	}
+	f.step(Started{ID: id, Server: s})
+	return s
+}
+
+func (f *front) end(id, server string, o Outcome) []Action {
+	return f.step(Ended{ID: id, Server: server, Outcome: o})
+}
+
+func TestOrdinaryPath(t *testing.T) {
+	tests := []struct {
+		name  string
+		full  []float64
+		span  int
+		class int
+		best  int
+		want  string
+		rung  int
+	}{
+		{"least loaded link wins", []float64{.5, .4, .1, .5, .6, .5}, 6, 0, 2, "s2", 2},
+		{"only holders count", []float64{.5, .4, .1, .5, .6, .5}, 2, 0, 2, "s1", 2},
+		{"viewer's best rung", []float64{.5, .4, .1, .5, .6, .5}, 6, 0, 1, "s2", 1},
+		{"rung that fits", []float64{.95, .9, .84, .95, .95, .95}, 6, 0, 2, "s2", 0},
+		{"never under the floor", []float64{.95, .9, .84, .95, .95, .95}, 6, 1, 2, "s2", 1},
+		{"no room is a refusal", []float64{1.2, 1.2, 1.2, 1.2, 1.2, 1.2}, 6, 0, 2, "", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, settings())
+			f.link(tt.full...)
+			out := f.step(Request{ID: "a", Class: tt.class, Span: tt.span, Best: tt.best, Due: f.now + 4*time.Second})
+			if got := f.sent(out); got != tt.want {
+				t.Fatalf("sent to %q, want %q", got, tt.want)
+			}
+			if r, ok := find[SetRung](out); ok && r.Rung != tt.rung {
+				t.Errorf("rung %d, want %d", r.Rung, tt.rung)
+			}
+			if r, ok := find[Refuse](out); ok != (tt.want == "") || ok && r.After != 500*ms {
+				t.Errorf("refusal %v %v", r, ok)
+			}
+		})
+	}
+}
+
+func TestHoldersWrapRound(t *testing.T) {
+	f := start(t, settings())
+	f.link(.3, .1, .1, .1, .1, .4)
+	if got := f.sent(f.step(Request{ID: "a", Home: 5, Span: 2, Due: f.now + time.Second})); got != "s0" {
+		t.Errorf("sent to %q, want s0 by wrapping round", got)
+	}
+}
+
+func TestTieGoesToLessLoadedRack(t *testing.T) {
+	set := settings()
+	set.RackUplink = 5000
+	f := start(t, set)
+	f.link(.32, .3, .5, .9, .5, .9) // as good as equal: s0 in the light rack, s1 in the heavy one
+	if got := f.sent(f.ask("a", 0)); got != "s0" {
+		t.Errorf("sent to %q, want s0 in the light rack", got)
+	}
+}
+
+func TestUnansweredGoesElsewhere(t *testing.T) {
+	f := start(t, settings())
+	first := f.sent(f.ask("a", 0))
+	f.now += 500 * ms
+	second := f.sent(f.end("a", first, TimedOut))
+	if second == "" || second == first {
+		t.Errorf("resent to %q after %q", second, first)
+	}
+	for i := range 12 { // the suspect gets no pile of set-ups
+		if s := f.sent(f.ask(fmt.Sprint("b", i), 0)); s == first {
+			t.Errorf("set-up %d went to the suspect", i)
+		}
+	}
+}
+
+func TestTrialBringsServerBack(t *testing.T) {
+	f := start(t, settings(), Server{ID: "s0", State: Ready, Weight: 1})
+	f.end("a", f.sent(f.ask("a", 0)), ConnectFailed)
+	f.now += 20 * time.Second
+	out := f.ask("b", 0)
+	if f.sent(out) != "s0" {
+		t.Fatal("no trial after the wait")
+	}
+	f.step(Started{ID: "b", Server: "s0"})
+	f.now += 12 * time.Second
+	if f.sent(f.ask("c", 1)) != "s0" {
+		t.Error("a server that served again gets no paid set-up")
+	}
+}
+
+func TestAllSuspectStillTried(t *testing.T) {
+	f := start(t, settings(), Server{ID: "s0", State: Ready, Weight: 1}, Server{ID: "s1", Cell: 1, State: Ready, Weight: 1})
+	out := f.ask("a", 0)
+	for range 2 {
+		out = f.end("a", f.sent(out), ConnectFailed)
+	}
+	f.now += 3 * time.Second
+	if f.sent(f.ask("b", 0)) == "" {
+		t.Error("every holder is suspect and nobody was tried")
+	}
+}
+
+func TestPaidSetUpNotRepeated(t *testing.T) {
+	for _, o := range []Outcome{Failed, TimedOut, Reset, Cancelled} {
+		f := start(t, settings())
+		out := f.end("a", f.sent(f.ask("a", 1)), o)
+		_, refused := find[Refuse](out)
+		if _, failed := find[Fail](out); f.sent(out) != "" || refused || !failed {
+			t.Errorf("outcome %v: %v, want Fail alone", o, out)
+		}
+	}
+	for _, o := range []Outcome{Full, ConnectFailed} {
+		f := start(t, settings())
+		if f.sent(f.end("a", f.sent(f.ask("a", 1)), o)) == "" {
+			t.Errorf("outcome %v never ran and was not resent", o)
+		}
+	}
+}
+
+func TestDeduplicatedStaysInGroupAndWindow(t *testing.T) {
+	f := start(t, settings())
+	first := f.sent(f.ask("a", 2))
+	second := f.sent(f.end("a", first, TimedOut))
+	if second == "" || f.c.known[second].Zone != f.c.known[first].Zone {
+		t.Errorf("resent from %s to %q, another zone", first, second)
+	}
+	f = start(t, settings())
+	first = f.sent(f.ask("a", 2))
+	f.now += 2 * time.Second
+	out := f.end("a", first, TimedOut)
+	if _, ok := find[Fail](out); !ok || f.sent(out) != "" {
+		t.Errorf("past the window: %v, want Fail", out)
+	}
+}
+
+func TestDrainKept(t *testing.T) {
+	f := start(t, settings())
+	f.link(0, .5, .5, .5, .5, .5)
+	f.step(ListUpdate{Servers: []Server{{ID: "s0", State: Draining, Weight: 1}}})
+	for i := range 9 {
+		if f.sent(f.ask(fmt.Sprint(i), 0)) == "s0" {
+			t.Fatal("sent to a draining server")
+		}
+	}
+}
+
+func TestColdPace(t *testing.T) {
+	cold := Server{ID: "s0", State: Ready, Weight: 1, Started: 99 * time.Second}
+	f := start(t, settings(), cold)
+	n := 0
+	for i := range 15 { // 1.5 s of asking ten times a second
+		if f.sent(f.ask(fmt.Sprint(i), 0)) != "" {
+			n++
+		}
+		f.now += 100 * ms
+	}
+	// 20 places over 10 s, 0.4 to 0.55 warm, 2.5 times that for 1.5 s, a third of it: one.
+	if n > 1 {
+		t.Errorf("%d set-ups in 1.5 s, a front's share is one", n)
+	}
+	f.now += 10 * time.Second
+	f.link(.1)
+	for i := range 5 {
+		if f.sent(f.ask(fmt.Sprint("w", i), 0)) == "" {
+			t.Error("a warm server is still held back")
+		}
+	}
+}
+
+func TestFailedServerComesBackCold(t *testing.T) {
+	f := start(t, settings(), Server{ID: "s0", State: Ready, Weight: 1})
+	f.end("a", f.sent(f.ask("a", 0)), ConnectFailed)
+	f.now += 20 * time.Second
+	f.play("b", 0)
+	if f.sent(f.ask("c", 0)) != "" {
+		t.Error("two set-ups at once on a server that may be cold")
+	}
+}
+
+func TestSeats(t *testing.T) {
+	f := start(t, settings())
+	one := f.play("a", 3)
+	f.play("b", 3)
+	if f.sent(f.ask("c", 3)) != "" {
+		t.Fatal("more sessions than seats")
+	}
+	f.end("a", one, Served)
+	if f.sent(f.ask("d", 3)) == "" {
+		t.Error("a freed seat is not used")
+	}
+}
+
+func TestAttemptCapAndBudget(t *testing.T) {
+	set := settings()
+	f := start(t, set)
+	out, n := f.ask("a", 0), 0
+	for s := f.sent(out); s != ""; s = f.sent(out) {
+		n++
+		out = f.end("a", s, ConnectFailed)
+	}
+	if n != set.MaxAttempts {
+		t.Errorf("%d attempts, the cap is %d", n, set.MaxAttempts)
+	}
+	set.BudgetSpan, set.BudgetFree, set.BudgetShare = 10*time.Second, 1, 0.1
+	f = start(t, set)
+	extra := 0
+	for i := range 10 {
+		id := fmt.Sprint(i)
+		f.now += 900 * ms
+		out := f.ask(id, 0)
+		for s := f.sent(out); s != ""; s = f.sent(out) {
+			if out = f.end(id, s, Failed); f.sent(out) != "" {
+				extra++
+			}
+		}
+	}
+	if extra != 2 {
+		t.Errorf("%d further attempts, the budget is 1 + a tenth of 10", extra)
+	}
+}
+
+func TestShortShareStepsDown(t *testing.T) {
+	f := start(t, settings(), Server{ID: "s0", State: Ready, Weight: 1})
+	for i := range 6 {
+		id := fmt.Sprint(i)
+		f.step(Request{ID: id, Playing: true, Server: "s0", Best: 2, Length: time.Minute})
+		f.step(Note{ID: id, Server: "s0", Kind: NoteRung, Value: 2})
+	}
+	f.now += 5 * time.Second
+	f.step(Note{Server: "s0", Kind: NoteLink, Value: 1.5})
+	if r, ok := find[SetRung](f.step(TimerFired{"beat"})); !ok || r.Rung > 1 {
+		t.Errorf("no step down on an over-asked link: %v", r)
+	}
+}
+
+func TestRoomThatLastsStepsUp(t *testing.T) {
+	f := start(t, settings(), Server{ID: "s0", State: Ready, Weight: 1})
+	f.step(Request{ID: "a", Playing: true, Server: "s0", Best: 2, Length: time.Minute})
+	f.step(Note{ID: "a", Server: "s0", Kind: NoteRung, Value: 0})
+	f.now += 5 * time.Second
+	f.step(Note{ID: "a", Server: "s0", Kind: NoteLink, Value: 0.06})
+	if r, ok := find[SetRung](f.step(TimerFired{"beat"})); !ok || r.Rung < 1 {
+		t.Error("no step up on an empty link")
+	}
+}
+
+func TestSilenceOfOneServerOnly(t *testing.T) {
+	f := start(t, settings())
+	a := f.play("a", 0)
+	note := func(s string) { f.step(Note{Server: s, Kind: NoteLink, Value: .1}) }
+	other := "s0"
+	if a == other {
+		other = "s1"
+	}
+	f.now += 9 * time.Second
+	if f.c.silent(f.c.known[a]) {
+		t.Error("suspected while no server is heard: the notes are at fault")
+	}
+	note(other)
+	if !f.c.silent(f.c.known[a]) {
+		t.Error("a server that others outlive is not suspected")
+	}
+}
+
+func TestSubscribes(t *testing.T) {
+	set := settings()
+	set.Subscribe = true
+	c, _ := New(set, 1)
+	if _, ok := find[Subscribe](c.Step(time.Second, []Event{ListUpdate{Whole: true, Cached: true}})); !ok {
+		t.Fatal("no subscription at start")
+	}
+	if timer, ok := find[SetTimer](c.Step(2*time.Second, []Event{ListUpdate{Failed: true}})); !ok || timer.Label != "subscribe" {
+		t.Fatal("a failed subscription is not asked for again")
+	}
+	if _, ok := find[Subscribe](c.Step(4*time.Second, []Event{TimerFired{"subscribe"}})); !ok {
+		t.Error("the timer does not subscribe")
+	}
+}
+
+func TestSharedLiveStreams(t *testing.T) {
+	set := settings()
+	set.JoinAdds = 0.2
+	set.Classes[0].Live = true
+	f := start(t, set)
+	first := f.play("a", 0)
+	for i := range 4 {
+		if s := f.play(fmt.Sprint(i), 0); s != first {
+			t.Errorf("viewer %d of the title on %s, the stream is on %s", i, s, first)
+		}
+	}
+}
+
+func TestSettingsThatMakeNoSense(t *testing.T) {
+	for name, spoil := range map[string]func(*Settings){
+		"empty ladder":  func(s *Settings) { s.Ladder = nil },
+		"falling rates": func(s *Settings) { s.Ladder = []float64{3, 2, 1} },
+		"no worth":      func(s *Settings) { s.RungWorth = nil },
+		"negative time": func(s *Settings) { s.Ramp = -1 },
+		"no rung":       func(s *Settings) { s.Classes[0].Floor = 3 },
+		"negative aim":  func(s *Settings) { s.Classes[0].Aim = -1 },
+	} {
+		set := settings()
+		spoil(&set)
+		if _, err := New(set, 1); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+	bare := Settings{Ladder: []float64{1}, RungWorth: []float64{1}, Classes: []Class{{}}}
+	f := start(t, bare, []Server{}...)
+	f.step(ListUpdate{Whole: true})
+	if _, ok := find[Refuse](f.ask("a", 0)); !ok {
+		t.Error("an empty list does not refuse")
+	}
+}
+
+func TestUnknownIgnored(t *testing.T) {
+	f := start(t, settings())
+	out := f.step(Started{ID: "x", Server: "x"}, Ended{ID: "x", Server: "x"}, Note{ID: "x", Server: "x", Kind: 9},
+		Left{ID: "x"}, Probed{Server: "x"}, TimerFired{"x"}, PeerMessage{Data: "x"}, Request{ID: "y", Class: 99})
+	if len(out) > 0 {
+		t.Errorf("acted on the unknown: %v", out)
+	}
+}
+
+// TestInvariants feeds random events and checks the rules on the actions.
+func TestInvariants(t *testing.T) {
+	for seed := range uint64(60) {
+		invariants(t, seed)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+type open struct {
+	class         int
+	due           time.Duration
+	server        string
+	out, playing  bool
+	answered, ran bool
+	best          int
+}
+
+func invariants(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	set := settings()
+	set.BudgetSpan, set.BudgetFree, set.BudgetShare = 5*time.Second, 3, 0.3
+	f := start(t, set)
+	state := map[string]State{}
+	for i := range 6 {
+		state[fmt.Sprint("s", i)] = Ready
+	}
+	reqs, ids := map[string]*open{}, []string{}
+	apply := func(out []Action) {
+		for _, a := range out {
+			switch a := a.(type) {
+			case Send:
+				q := reqs[a.ID]
+				if q.out || q.answered {
+					t.Errorf("%s: sent while out %v, answered %v", a.ID, q.out, q.answered)
+				}
+				if state[a.Server] != Ready {
+					t.Errorf("%s: sent to %s in state %v", a.ID, a.Server, state[a.Server])
+				}
+				if q.ran && q.class == 1 {
+					t.Errorf("%s: paid set-up repeated", a.ID)
+				}
+				q.out, q.server = true, a.Server
+				n := 0
+				for _, o := range reqs {
+					if o.class == 3 && o.out {
+						n++
+					}
+				}
+				if n > set.Classes[3].Seats {
+					t.Errorf("%d sessions, %d seats", n, set.Classes[3].Seats)
+				}
+			case Refuse:
+				q := reqs[a.ID]
+				if q.answered || q.out || q.ran && (q.class == 1 || q.class == 2) {
+					t.Errorf("%s: wrong refusal %+v", a.ID, q)
+				}
+				q.answered = true
+			case Fail:
+				if q := reqs[a.ID]; q.answered || q.out {
+					t.Errorf("%s: wrong failure", a.ID)
+				} else {
+					q.answered = true
+				}
+			case SetRung:
+				if q := reqs[a.ID]; a.Rung < set.Classes[q.class].Floor || a.Rung > max(q.best, set.Classes[q.class].Floor) {
+					t.Errorf("%s: rung %d", a.ID, a.Rung)
+				}
+			}
+		}
+	}
+	for i := range 1500 {
+		f.now += time.Duration(r.IntN(80)) * ms
+		switch k := r.IntN(10); {
+		case k < 3 || len(ids) == 0:
+			id := fmt.Sprint("r", i)
+			q := &open{class: r.IntN(4), due: f.now + 4*time.Second, best: r.IntN(2) + 1}
+			reqs[id], ids = q, append(ids, id)
+			apply(f.step(Request{ID: id, Class: q.class, Title: 1, Home: r.IntN(6), Span: 3 + r.IntN(3), Best: q.best, Due: q.due}))
+			if !q.out && !q.answered {
+				t.Errorf("%s: neither sent nor answered", id)
+			}
+		case k < 7:
+			id := ids[r.IntN(len(ids))]
+			q := reqs[id]
+			if !q.out {
+				continue
+			}
+			if !q.playing && r.IntN(2) == 0 {
+				q.playing, q.answered = true, true
+				apply(f.step(Started{ID: id, Server: q.server}))
+				continue
+			}
+			o := Outcome(r.IntN(8))
+			q.out = false
+			q.ran = q.ran || o != Full && o != ConnectFailed && o != Moot
+			final := q.playing || o == Served
+			q.answered = q.answered || final
+			apply(f.step(Ended{ID: id, Server: q.server, Outcome: o, Final: final}))
+			if !q.out && !q.answered {
+				t.Errorf("%s: ended with %v and left without an answer", id, o)
+			}
+		case k < 8:
+			s := fmt.Sprint("s", r.IntN(6))
+			state[s] = State(r.IntN(3))
+			if r.IntN(2) == 0 {
+				state[s] = Ready
+			}
+			line := Server{ID: s, Cell: int(s[1] - '0'), Zone: int(s[1]-'0') % 3, State: state[s], Weight: 1}
+			if r.IntN(4) == 0 {
+				line.Started = f.now - time.Second
+			}
+			apply(f.step(ListUpdate{Servers: []Server{line}}))
+		case k < 9:
+			apply(f.step(Note{Server: fmt.Sprint("s", r.IntN(6)), Kind: NoteKind(r.IntN(5)), Value: r.Float64() * 1.5}))
+		default:
+			apply(f.step(TimerFired{"beat"}))
+		}
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() (all []Action) {
+		f := start(t, settings())
+		for i := range 200 {
+			f.now += 50 * ms
+			out := f.ask(fmt.Sprint(i), i%4)
+			if s := f.sent(out); s != "" && i%3 > 0 {
+				out = append(out, f.step(Started{ID: fmt.Sprint(i), Server: s})...)
+			}
+			all = append(all, out...)
+			all = append(all, f.step(TimerFired{"beat"})...)
+		}
+		return all
+	}
+	if a, b := run(), run(); !reflect.DeepEqual(a, b) {
+		t.Error("the same events gave other actions")
+	}
+}
+
+// TestModuleSize holds the limits on the decision file.
+func TestModuleSize(t *testing.T) {
+	file, err := os.Open("control.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	lines, n := 0, 0
+	for sc := bufio.NewScanner(file); sc.Scan(); {
+		n++
+		if strings.TrimSpace(sc.Text()) != "" {
+			lines++
+		}
+		if w := len([]rune(strings.ReplaceAll(sc.Text(), "\t", "    "))); w > 110 {
+			t.Errorf("line %d is %d columns wide", n, w)
+		}
+	}
+	if lines > 850 {
+		t.Errorf("%d lines that are not blank, 850 at most", lines)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -259,3 +259,13 @@
 	}
 	return set, nil
 }
+
+// stream is the own session that x could share a live stream with at a server.
+func (c *Controller) stream(x *session, s *server) *session {
+	for _, y := range s.held {
+		if c.added(x, y.rung, s.held) < 1 && y != x && y.class == x.class && y.Title == x.Title {
+			return y
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,112 @@
+package wire
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+func lines(t *testing.T, name string) [][]byte {
+	t.Helper()
+	raw, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bytes.Split(bytes.TrimSpace(raw), []byte("\n"))
+}
+
+// TestGolden plays batches of our own writing; testdata holds each and its reply, line by line.
+func TestGolden(t *testing.T) {
+	in, want := lines(t, "testdata/batches.jsonl"), lines(t, "testdata/replies.jsonl")
+	h := NewHost()
+	for i, line := range in {
+		got, err := h.Line(line)
+		if err != nil {
+			t.Fatalf("line %d: %v", i+1, err)
+		}
+		if got = bytes.TrimSpace(got); i >= len(want) || !bytes.Equal(got, want[i]) {
+			t.Errorf("line %d: got %s", i+1, got)
+		}
+	}
+}
+
+// TestInstancesShareNothing compares two instances in one process with one process each.
+func TestInstancesShareNothing(t *testing.T) {
+	in := lines(t, "testdata/batches.jsonl")
+	twin := func(front int, line []byte) []byte {
+		return bytes.ReplaceAll(line, []byte(`"frontId":1`), fmt.Appendf(nil, `"frontId":%d`, front))
+	}
+	both, alone := NewHost(), []*Host{NewHost(), NewHost()}
+	for i, line := range in {
+		l4, l5 := twin(4, line), twin(5, line)
+		head, tail, ok := bytes.Cut(l4, []byte(`"happened":[`))
+		_, tail5, _ := bytes.Cut(l5, []byte(`"happened":[`))
+		if !ok {
+			t.Fatal("no events in line", i+1)
+		}
+		sep := ","
+		if string(tail) == "]}" {
+			sep = ""
+		}
+		joint := string(head) + `"happened":[` + strings.TrimSuffix(string(tail), "]}") + sep + string(tail5)
+		got, err := both.Line([]byte(joint))
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := ""
+		for n, l := range [][]byte{l4, l5} {
+			r, err := alone[n].Line(l)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, box, _ := strings.Cut(string(r), `"outbox":[`)
+			if box = strings.TrimSuffix(strings.TrimSpace(box), "]}"); want != "" && box != "" {
+				want += ","
+			}
+			want += strings.TrimSuffix(box, "]}")
+		}
+		if _, box, _ := strings.Cut(string(got), `"outbox":[`); strings.TrimSuffix(strings.TrimSpace(box), "]}") != want {
+			t.Errorf("line %d: together %s, apart %s", i+1, got, want)
+		}
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	for _, line := range []string{`{`, `[]`, `{"wall":"x"}`, `{"wall":1,"seq":1,"happened":[7]}`,
+		`{"wall":1,"seq":1,"happened":[{}]}`, `{"wall":1,"seq":1,"happened":[{"m":"Hello","facts":{}}]}`,
+		`{"wall":1,"seq":1,"happened":[{"m":"AttemptEnd","reason":"Q"}]}`} {
+		if _, err := NewHost().Line([]byte(line)); err == nil {
+			t.Errorf("%s: no error", line)
+		}
+	}
+	if _, err := NewHost().Line([]byte(`{"wall":1,"seq":1,"happened":[{"m":"Novelty","frontId":9,"new":{}}]}`)); err != nil {
+		t.Errorf("an unknown event stops the adapter: %v", err)
+	}
+}
+
+func TestExceptionNamesAFront(t *testing.T) {
+	got := string(Exception([]byte(`{"seq":7,"happened":[{"m":"Left","frontId":3}]}`), "broken"))
+	if got != `{"seq":7,"outbox":[{"m":"Exception","frontId":3,"words":"broken"}]}`+"\n" {
+		t.Error(got)
+	}
+}
+
+func FuzzLine(f *testing.F) {
+	raw, err := os.ReadFile("testdata/batches.jsonl")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for line := range bytes.Lines(raw) {
+		f.Add(line)
+	}
+	first, _, _ := bytes.Cut(raw, []byte("\n"))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		h := NewHost()
+		if _, err := h.Line(first); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = h.Line(line) // any error will do; a panic fails
+	})
+}
