--- a/control/control.go
+++ b/control/control.go
@@ -15,11 +15,11 @@
 const (
 	fillTarget   = 0.90                   // steps down aim here: true rates swing around the ladder's
 	riseTarget   = 0.88                   // steps up and newcomers fill to this: crowds come unannounced
-	overFull     = 0.98                   // calls for steps down: past it the share delivered is short
+	overFull     = 1.02                   // calls for steps down: past it the share delivered is short
 	admitLimit   = 1.0                    // fullness up to which a lowest rung is still let in
-	tieWidth     = 0.05                   // fullness: links this close count as equal: reports are that noisy
+	tieWidth     = 0.10                   // fullness: links this close count as equal: reports are that noisy
 	zoneTie      = 0.03                   // what a server of another zone must be better by
-	startShare   = 0.5                    // part of the room left that one newcomer may take
+	startShare   = 0.25                    // part of the room left that one newcomer may take
 	swapGain     = 1.5                    // a step up must earn so many times what its step down loses
 	switchGain   = 2.5                    // a step up must earn so many times the price of a switch
 	reportWeight = 0.8                    // weight of a new note against what was believed
@@ -30,7 +30,7 @@
 	linkWeight   = 0.2                    // weight of new evidence on what a link gives
 	beat         = 250 * time.Millisecond // pace of corrections: finer than the notes, coarse against CPU
 	stepEvery    = 2 * time.Second        // no step up so long after a short share, nor between allowances
-	upPart       = 0.7                    // part of its share of the room a front takes at one report
+	upPart       = 0.45                    // part of its share of the room a front takes at one report
 	unheard      = 0.6                    // fullness assumed of a fleet of which nothing is known yet
 	fullWait     = time.Second            // rest for a server that has no stream free
 	settle       = time.Second            // beyond the notes' delay, wait after a correction of an uplink
