Blame a short share on the link if it was full when the note was true

Cause: notes are late, so a link already mended looked innocent and the uplink's learned size was cut for nothing.

--- a/control/control.go
+++ b/control/control.go
@@ -16,21 +16,22 @@
 	fillTarget   = 0.90                   // steps down aim here: true rates swing around the ladder's
 	riseTarget   = 0.88                   // steps up and newcomers fill to this: crowds come unannounced
 	overFull     = 1.02                   // calls for steps down: past it the share delivered is short
+	nearFull     = 0.90                   // a link this full lately is blamed for a short share, not the uplink
 	admitLimit   = 1.0                    // fullness up to which a lowest rung is still let in
 	tieWidth     = 0.10                   // fullness: links this close count as equal: reports are that noisy
 	zoneTie      = 0.03                   // what a server of another zone must be better by
-	startShare   = 0.25                    // part of the room left that one newcomer may take
+	startShare   = 0.15                   // part of the room left that one newcomer may take
 	swapGain     = 1.5                    // a step up must earn so many times what its step down loses
 	switchGain   = 2.5                    // a step up must earn so many times the price of a switch
 	reportWeight = 0.8                    // weight of a new note against what was believed
 	answerWeight = 0.3                    // the same for a report in an answer: noisy, its age unknown
 	oldReport    = 12 * time.Second       // a report this old has half its say, the fleet's mean the rest
 	uplinkWeight = 0.3                    // weight of new evidence on what an uplink gives
-	uplinkGrowth = 1.002                  // per beat, regrowth of an uplink that no note contradicts
+	uplinkGrowth = 1.005                  // per beat, regrowth of an uplink that no note contradicts
 	linkWeight   = 0.2                    // weight of new evidence on what a link gives
 	beat         = 250 * time.Millisecond // pace of corrections: finer than the notes, coarse against CPU
 	stepEvery    = 2 * time.Second        // no step up so long after a short share, nor between allowances
-	upPart       = 0.45                    // part of its share of the room a front takes at one report
+	upPart       = 0.4                    // part of its share of the room a front takes at one report
 	unheard      = 0.6                    // fullness assumed of a fleet of which nothing is known yet
 	fullWait     = time.Second            // rest for a server that has no stream free
 	settle       = time.Second            // beyond the notes' delay, wait after a correction of an uplink
@@ -632,6 +633,9 @@
 	s.others += weight * (full - own - s.others)
 	s.others = max(s.others, 0)
 	s.heard, s.othersAt = true, c.now
+	if full >= nearFull {
+		s.fullAt = c.now
+	}
 }
 
 // believeUplink learns what a rack's uplink gives from its fullness at a time.
@@ -688,9 +692,10 @@
 	}
 	s.shortAt = c.now
 	full := 1 / max(share, deadShare)
-	r := c.racks[s.rack]
-	if link := c.fullness(s); link >= overFull || r.capacity <= 0 || r.told {
-		if link >= overFull && share < overFull && link < full {
+	r, link := c.racks[s.rack], c.fullness(s)
+	wasFull := link >= nearFull || s.fullAt > 0 && c.now-s.fullAt < c.set.NoteDelay+settle
+	if wasFull || r.capacity <= 0 || r.told {
+		if link >= nearFull && share < overFull && link < full {
 			c.believe(s, full, then, reportWeight)
 			s.fresh = true
 		}
@@ -787,6 +792,9 @@
 		c.regulateUplink(r)
 	}
 	for _, s := range c.order {
+		if c.fullness(s) >= nearFull {
+			s.fullAt = c.now
+		}
 		if !s.fresh || len(s.held) == 0 || s.capacity <= 0 {
 			continue
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -21,6 +21,7 @@
 	fresh        bool // a report came since the last correction
 	otherStreams int
 	fullTill     time.Duration // turned a set-up away for its streams
+	fullAt       time.Duration // link thought full
 	shortAt      time.Duration // last note of a share
 	noteAt       time.Duration // last note of any kind
 	fails        int           // set-ups and sessions lost in a row
