--- a/control/control.go
+++ b/control/control.go
@@ -16,7 +16,7 @@
 	fillTarget   = 0.90                   // steps down aim here: true rates swing around the ladder's
 	riseTarget   = 0.88                   // steps up and newcomers fill to this: crowds come unannounced
 	overFull     = 1.02                   // calls for steps down: past it the share delivered is short
-	nearFull     = 0.90                   // a link this full lately is blamed for a short share, not the uplink
+	nearFull     = 0.90                   // a link this full lately is blamed for a short share
 	admitLimit   = 1.0                    // fullness up to which a lowest rung is still let in
 	tieWidth     = 0.10                   // fullness: links this close count as equal: reports are that noisy
 	zoneTie      = 0.03                   // what a server of another zone must be better by
@@ -27,6 +27,7 @@
 	answerWeight = 0.3                    // the same for a report in an answer: noisy, its age unknown
 	oldReport    = 12 * time.Second       // a report this old has half its say, the fleet's mean the rest
 	uplinkWeight = 0.3                    // weight of new evidence on what an uplink gives
+	growFrom     = 0.80                   // fullness from which an uplink without complaint is thought larger
 	uplinkGrowth = 1.005                  // per beat, regrowth of an uplink that no note contradicts
 	linkWeight   = 0.2                    // weight of new evidence on what a link gives
 	beat         = 250 * time.Millisecond // pace of corrections: finer than the notes, coarse against CPU
@@ -826,7 +827,7 @@
 		own += c.asked(s)
 	}
 	short := r.short < overFull && c.now-r.shortAt < stepEvery
-	if !r.told && !short && asked > fillTarget*r.capacity {
+	if !r.told && !short && asked > growFrom*r.capacity {
 		r.capacity = min(r.capacity*uplinkGrowth, 2*r.prior)
 	}
 	if c.now-r.stepped < c.set.NoteDelay+settle {
