--- a/control/control.go
+++ b/control/control.go
@@ -19,7 +19,7 @@
 	nearFull     = 0.90                   // a link this full lately is blamed for a short share
 	admitLimit   = 1.0                    // fullness up to which a lowest rung is still let in
 	tieWidth     = 0.10                   // fullness: links this close count as equal: reports are that noisy
-	zoneTie      = 0.03                   // what a server of another zone must be better by
+	zoneWeight   = 2.5                    // fullness that crossing zones must gain, by its price
 	startShare   = 0.15                   // part of the room left that one newcomer may take
 	swapGain     = 1.5                    // a step up must earn so many times what its step down loses
 	switchGain   = 2.5                    // a step up must earn so many times the price of a switch
@@ -422,7 +422,7 @@
 			cost += c.uplink(r) / r.capacity
 		}
 		if s.Zone != c.set.Zone && c.set.ZonePrice > 0 {
-			cost += zoneTie
+			cost += zoneWeight * c.set.ZonePrice
 		}
 		if cost < bestCost {
 			best, bestCost = s, cost
@@ -555,9 +555,8 @@
 	case Full:
 		if c.set.FullFrom > 0 {
 			c.believe(s, max(c.set.FullFrom, c.fullness(s)), c.now, reportWeight)
-		} else {
-			s.fullTill = c.now + fullWait
 		}
+		s.fullTill = c.now + fullWait
 	case TimedOut, ConnectFailed, Reset, Failed:
 		if !x.playing || e.Outcome == Reset {
 			c.failed(s)
