--- a/control/control.go
+++ b/control/control.go
@@ -35,14 +35,14 @@
 	upPart       = 0.4                    // part of its share of the room a front takes at one report
 	unheard      = 0.6                    // fullness assumed of a fleet of which nothing is known yet
 	fullWait     = time.Second            // rest for a server that has no stream free
-	settle       = time.Second            // beyond the notes' delay, wait after a correction of an uplink
+	settle       = 2 * time.Second            // beyond the notes' delay, wait after a correction of an uplink
 	patiencePart = 0.45                   // of the aim: unanswered this long, a set-up is tried elsewhere
 	avoidFirst   = time.Second            // rest for a failing server, doubled at each failure
 	avoidMost    = 8 * time.Second        // and at most this, so that a mended one is soon found
 	silentNotes  = 2.5                    // note periods missed by one server alone: suspect
 	deadShare    = 0.2                    // a delivered share under this is a standstill, not a full link
 	coldMargin   = 0.6                    // part of what a cold server stands that the fronts use
-	guessLength  = 20 * time.Second       // time left of a session whose length nobody told
+	guessLength  = 10 * time.Second       // time left of a session whose length nobody told
 	keepHistory  = 12 * time.Second       // own rates are remembered for late notes
 	returnAdvice = time.Second            // wait advised to a viewer who was turned away
 	noMoreThan   = 3.0                    // fullness reports are clipped here
