--- a/control/control.go
+++ b/control/control.go
@@ -35,8 +35,9 @@
 	upPart       = 0.4                    // part of its share of the room a front takes at one report
 	unheard      = 0.6                    // fullness assumed of a fleet of which nothing is known yet
 	fullWait     = time.Second            // rest for a server that has no stream free
-	settle       = 2 * time.Second            // beyond the notes' delay, wait after a correction of an uplink
+	settle       = 2 * time.Second        // beyond the notes' delay, wait after a correction of an uplink
 	patiencePart = 0.45                   // of the aim: unanswered this long, a set-up is tried elsewhere
+	streamsFor   = time.Second            // a report of the streams holds so long; then a set-up may ask anew
 	avoidFirst   = time.Second            // rest for a failing server, doubled at each failure
 	avoidMost    = 8 * time.Second        // and at most this, so that a mended one is soon found
 	silentNotes  = 2.5                    // note periods missed by one server alone: suspect
@@ -316,7 +317,11 @@
 	if s.State != Ready || !s.holds(x.Home, x.Span, c.set.Cells) || !c.paceAllows(s) {
 		return false
 	}
-	if n := c.streams(s); n > 0 && s.otherStreams+len(s.held) >= n || c.now < s.fullTill {
+	others := s.otherStreams
+	if c.now-s.streamsAt > streamsFor {
+		others = 0
+	}
+	if n := c.streams(s); n > 0 && others+len(s.held) >= n || c.now < s.fullTill {
 		return false
 	}
 	if m := x.mayRan; m != nil && x.class.Effect == Deduplicated {
@@ -608,7 +613,7 @@
 		s.fresh = s.fresh || c.set.LinkNoteEvery == 0
 	}
 	if l.Streams != nil {
-		s.otherStreams = max(int(*l.Streams+0.5)-len(s.held), 0)
+		s.streamsAt, s.otherStreams = c.now, max(int(*l.Streams+0.5)-len(s.held), 0)
 	}
 	if l.Uplink != nil {
 		c.believeUplink(c.racks[s.rack], *l.Uplink, when, true, false)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -574,3 +574,50 @@
 		t.Errorf("%d lines that are not blank, 850 at most", lines)
 	}
 }
+
+func TestStaleStreamCountDoesNotRefuse(t *testing.T) {
+	f := start(t, settings(), Server{ID: "s0", State: Ready, Weight: 1})
+	f.link(.1)
+	s := f.play("a", 0)
+	all := 20.0
+	f.step(Ended{ID: "a", Server: s, Outcome: Served, Final: true, Load: &Load{Streams: &all}})
+	if f.sent(f.ask("b", 0)) != "" {
+		t.Error("sent although every stream was just reported taken")
+	}
+	f.now += 2 * time.Second
+	if f.sent(f.ask("c", 0)) == "" {
+		t.Error("refused on an old count of streams")
+	}
+}
+
+func TestLateShareBlamesLinkThatWasFull(t *testing.T) {
+	set := settings()
+	set.RackUplink = 5000
+	f := start(t, set, Server{ID: "s0", State: Ready, Weight: 1}, Server{ID: "s1", Cell: 2, State: Ready, Weight: 1})
+	before := f.c.racks[0].capacity
+	f.link(1.3)
+	f.link(.6)
+	f.now += time.Second
+	f.step(Note{Server: "s0", Kind: NoteShare, Value: .8})
+	if f.c.racks[0].capacity != before {
+		t.Error("the uplink was blamed for a link that was full")
+	}
+	f.now += 10 * time.Second
+	f.step(Note{Server: "s0", Kind: NoteShare, Value: .8})
+	if f.c.racks[0].capacity >= before {
+		t.Error("a short share on a link with room does not point at the uplink")
+	}
+}
+
+func TestUplinkWithoutComplaintGrows(t *testing.T) {
+	set := settings()
+	set.RackUplink = 2000
+	f := start(t, set, Server{ID: "s0", State: Ready, Weight: 1}, Server{ID: "s1", Cell: 2, State: Ready, Weight: 1})
+	before := f.c.racks[0].capacity
+	f.link(.9)
+	f.step(Note{Server: "s1", Kind: NoteLink, Value: .9})
+	f.step(TimerFired{"beat"})
+	if f.c.racks[0].capacity <= before {
+		t.Error("no growth")
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -20,6 +20,7 @@
 	heard        bool // others was ever reported
 	fresh        bool // a report came since the last correction
 	otherStreams int
+	streamsAt    time.Duration // when otherStreams was reported
 	fullTill     time.Duration // turned a set-up away for its streams
 	fullAt       time.Duration // link thought full
 	shortAt      time.Duration // last note of a share
