--- a/control/control.go
+++ b/control/control.go
@@ -277,6 +277,27 @@
 		}
 	}
 	c.place(x)
+	if c.set.Reports == ReportsByProbe && c.set.Probes {
+		c.probe(x)
+	}
+}
+
+// probe asks the holder that was heard of longest ago for its load: one probe a request, so that the
+// price of probes stays in step with the traffic.
+func (c *Controller) probe(x *session) {
+	var oldest *server
+	for _, s := range c.order {
+		if s.State != Ready || s.probing || !s.holds(x.Home, x.Span, c.set.Cells) {
+			continue
+		}
+		if oldest == nil || s.othersAt < oldest.othersAt {
+			oldest = s
+		}
+	}
+	if oldest != nil {
+		oldest.probing = true
+		c.act(Probe{oldest.ID})
+	}
 }
 
 // place sends a request to a server, or ends it. The least loaded holder with room decides;
