--- a/control/control.go
+++ b/control/control.go
@@ -146,56 +146,6 @@
 	c.sizeLinks()
 }
 
-// sizeLinks sets what links and uplinks are told to give. Where the weight tells no size,
-// the kind's streams do. What was learned of a link stays.
-func (c *Controller) sizeLinks() {
-	unit, sum := 0.0, 0.0
-	for _, s := range c.order {
-		if s.State != Gone {
-			sum += float64(c.streams(s))
-		}
-	}
-	if sum > 0 {
-		unit = c.set.LinksTotal / sum
-	}
-	c.racks = c.racks[:min(len(c.racks), max(c.set.Racks, 1))]
-	for len(c.racks) < max(c.set.Racks, 1) {
-		c.racks = append(c.racks, &rack{})
-	}
-	for _, r := range c.racks {
-		r.servers = r.servers[:0]
-	}
-	part := c.set.RackUplink * float64(c.set.Racks) / c.set.LinksTotal
-	links := make([]float64, len(c.racks))
-	for _, s := range c.order {
-		told := unit * float64(c.streams(s))
-		if c.set.Weights == WeightSize && s.Weight > 0 && c.set.WeightLink > 0 {
-			told = s.Weight * c.set.WeightLink
-		}
-		if s.capacity == 0 {
-			s.capacity = told
-		}
-		if s.State != Gone || len(s.held) > 0 {
-			c.racks[s.rack].servers = append(c.racks[s.rack].servers, s)
-		}
-		if s.State != Gone {
-			links[s.rack] += told
-		}
-	}
-	for i, r := range c.racks {
-		prior := 0.0
-		if c.set.Racks > 0 && c.set.LinksTotal > 0 {
-			prior = part * links[i]
-		}
-		if r.prior > 0 && prior > 0 {
-			r.capacity *= prior / r.prior
-		} else {
-			r.capacity = prior
-		}
-		r.prior = prior
-	}
-}
-
 // fullness blends the own sessions with the reports: the others' part as last reported,
 // which fades to the fleet's mean with age, and the own part as it is now.
 func (c *Controller) fullness(s *server) float64 {
@@ -400,20 +350,17 @@
 	return c.now-since > limit && c.now-c.noted < c.set.LinkNoteEvery
 }
 
-// trials picks the suspects worth a try when nobody else is left: those left alone longest.
-func (c *Controller) trials(x *session, suspects []*server) (due []*server) {
+// trials are the suspects worth a try when nobody else is left; those that x has not met come first.
+// Their pace keeps set-ups from piling up on them.
+func (c *Controller) trials(x *session, suspects []*server) []*server {
 	if x.class.Effect == AtMostOnce {
 		return nil
 	}
-	for _, s := range suspects {
-		if c.now >= s.avoidTill && s.settingUp() == 0 || len(suspects) > 0 && !slices.Contains(x.tried, s) {
-			due = append(due, s)
-		}
-	}
-	if len(due) == 0 {
-		return suspects
+	met := func(s *server) bool { return slices.Contains(x.tried, s) }
+	if untried := slices.DeleteFunc(slices.Clone(suspects), met); len(untried) > 0 {
+		return untried
 	}
-	return due
+	return suspects
 }
 
 // shared keeps viewers of one live title together where streams can be shared.
