--- a/control/control.go
+++ b/control/control.go
@@ -332,7 +332,7 @@
 }
 
 // silent tells a server whose notes stopped while other servers' went on. When all stop, the notes
-// are at fault and nobody is suspected.
+// are at fault and nobody is suspected; notes at set-up don't count as going on.
 func (c *Controller) silent(s *server) bool {
 	if c.set.LinkNoteEvery <= 0 || len(s.held) == 0 {
 		return false
@@ -635,7 +635,7 @@
 		return
 	}
 	then := c.now - c.set.NoteDelay
-	s.noteAt, c.noted = c.now, c.now
+	s.noteAt = c.now
 	switch e.Kind {
 	case NoteRung:
 		if x != nil && x.on == s && e.Value >= 0 && int(e.Value) < len(c.set.Ladder) {
@@ -648,7 +648,7 @@
 			return
 		}
 		c.believe(s, e.Value, then, reportWeight)
-		s.fresh = true
+		s.fresh, c.noted = true, c.now
 	case NoteUplink:
 		if x != nil && c.now-x.startAt < c.set.NoteDelay {
 			then = c.now
