--- a/control/control.go
+++ b/control/control.go
@@ -40,7 +40,7 @@
 	streamsFor   = time.Second            // a report of the streams holds so long; then a set-up may ask anew
 	avoidFirst   = time.Second            // rest for a failing server, doubled at each failure
 	avoidMost    = 8 * time.Second        // and at most this, so that a mended one is soon found
-	silentNotes  = 2.5                    // note periods missed by one server alone: suspect
+	silentNotes  = 4.0                    // note periods missed by one server alone: suspect
 	deadShare    = 0.2                    // a delivered share under this is a standstill, not a full link
 	coldMargin   = 0.6                    // part of what a cold server stands that the fronts use
 	guessLength  = 10 * time.Second       // time left of a session whose length nobody told
