--- a/control/control_test.go
+++ b/control/control_test.go
@@ -342,7 +342,7 @@
 	if a == other {
 		other = "s1"
 	}
-	f.now += 9 * time.Second
+	f.now += 14 * time.Second
 	if f.c.silent(f.c.known[a]) {
 		t.Error("suspected while no server is heard: the notes are at fault")
 	}
