--- a/control/control.go
+++ b/control/control.go
@@ -28,7 +28,6 @@
 	oldReport    = 12 * time.Second       // a report this old has half its say, the fleet's mean the rest
 	uplinkWeight = 0.3                    // weight of new evidence on what an uplink gives
 	growFrom     = 0.80                   // fullness from which an uplink without complaint is thought larger
-	uplinkRegain = 0.01                   // per beat, part of the way back to the told size meanwhile
 	uplinkGrowth = 1.005                  // per beat, regrowth of an uplink that no note contradicts
 	linkWeight   = 0.2                    // weight of new evidence on what a link gives
 	beat         = 250 * time.Millisecond // pace of corrections: finer than the notes, coarse against CPU
@@ -801,8 +800,7 @@
 	}
 	short := r.short < overFull && c.now-r.shortAt < stepEvery
 	if !r.told && !short && asked > growFrom*r.capacity {
-		back := r.capacity + uplinkRegain*(r.prior-r.capacity)
-		r.capacity = min(max(r.capacity*uplinkGrowth, back), 2*r.prior)
+		r.capacity = min(r.capacity*uplinkGrowth, 2*r.prior)
 	}
 	if c.now-r.stepped < c.set.NoteDelay+settle {
 		return
