--- a/control/control_test.go
+++ b/control/control_test.go
@@ -648,3 +648,22 @@
 		t.Error("probes where answers report")
 	}
 }
+
+func TestPaidStaysOffSuspects(t *testing.T) {
+	set := settings()
+	set.Ramp = 0 // no pace: the judgement alone keeps set-ups away
+	f := start(t, set)
+	bad := f.sent(f.ask("a", 0))
+	f.end("a", bad, TimedOut)
+	for i := range 12 {
+		if f.sent(f.ask(fmt.Sprint("b", i), 0)) == bad {
+			t.Error("set-up sent to a suspect within its rest")
+		}
+	}
+	f.now += 20 * time.Second
+	for i := range 12 {
+		if f.sent(f.ask(fmt.Sprint("c", i), 1)) == bad {
+			t.Error("paid set-up sent to a server that has not served again")
+		}
+	}
+}
