--- a/control/control.go
+++ b/control/control.go
@@ -5,6 +5,7 @@
 // choice of server, start, reports, rung changes while it plays, failure, end.
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -148,19 +149,22 @@
 
 // fullness blends the own sessions with the reports: the others' part as last reported,
 // which fades to the fleet's mean with age, and the own part as it is now.
-func (c *Controller) fullness(s *server) float64 {
+func (c *Controller) fullness(s *server) float64 { return c.blend(s, c.mean()) }
+
+// blend is a server's fullness, given the fleet's mean.
+func (c *Controller) blend(s *server, mean float64) float64 {
 	if s.capacity <= 0 {
-		return c.mean()
+		return mean
 	}
 	own := c.asked(s) / s.capacity
 	if c.set.Reports == ReportsNone {
 		return own + s.others
 	}
 	if !s.heard {
-		return own + c.mean()*float64(c.set.Fronts-1)/float64(c.set.Fronts)
+		return own + mean*float64(c.set.Fronts-1)/float64(c.set.Fronts)
 	}
 	say := math.Exp2(-float64(c.now-s.othersAt) / float64(oldReport))
-	return own + s.others*say + max(0, c.mean()-own)*(1-say)
+	return own + s.others*say + max(0, mean-own)*(1-say)
 }
 
 // mean is the mean fullness of the servers heard from; before any was, the own sessions times the
@@ -207,12 +211,12 @@
 		return
 	}
 	k := &c.set.Classes[e.Class]
-	x := &session{Request: e, class: k, worth: k.Worth, rung: k.Floor, taken: c.now}
+	x := &session{Request: e, class: k, worth: k.Worth, rung: k.Floor}
 	c.sessions[e.ID] = x
 	if e.Playing {
 		x.attempts, x.playing, x.done, x.startAt = 1, true, true, c.now
 		if s := c.known[e.Server]; s != nil {
-			s.add(x, c.now)
+			s.add(x)
 			c.changed(s)
 		}
 		return
@@ -254,7 +258,8 @@
 // exceptions, each only where the one before found nobody: a holder where own sessions step
 // down to make room, then the best of the suspects whose trial is due.
 func (c *Controller) place(x *session) {
-	if c.now >= x.Due && x.Due > 0 || x.attempts > 0 && !c.mayResend(x) {
+	unseated := x.class.Seats > 0 && c.seated(x) >= x.class.Seats
+	if c.now >= x.Due && x.Due > 0 || x.attempts > 0 && !c.mayResend(x) || unseated {
 		c.end(x)
 		return
 	}
@@ -283,7 +288,7 @@
 }
 
 // allowed keeps the rules that no load can bend: listed and ready, holder of the title, a free
-// stream, a seat, the pace of a cold server, and the group that a deduplicated set-up is bound to.
+// stream, the pace of a cold server, and the group that a deduplicated set-up is bound to.
 func (c *Controller) allowed(x *session, s *server) bool {
 	if s.State != Ready || !s.holds(x.Home, x.Span, c.set.Cells) || !c.paceAllows(s) {
 		return false
@@ -301,7 +306,7 @@
 			return false
 		}
 	}
-	return x.class.Seats <= 0 || c.seated(x) < x.class.Seats
+	return true
 }
 
 // paceAllows splits the pace that a freshly started server stands over all fronts. It acts too on
@@ -407,10 +412,10 @@
 // send starts an attempt at the rung that fits.
 func (c *Controller) send(x *session, s *server) {
 	if x.attempts > 0 && c.set.BudgetSpan > 0 {
-		c.further = append(within(c.further, c.now, c.set.BudgetSpan), c.now)
+		c.further = append(c.further, c.now) // mayResend dropped the old ones
 	}
 	x.rung = x.class.Floor
-	s.add(x, c.now)
+	s.add(x)
 	if need := -c.room(s, admitLimit); need > 0 {
 		c.stepDown(s.held, need, x)
 	}
@@ -576,7 +581,7 @@
 	if l == nil {
 		return
 	}
-	if v := cmp(l.Link, l.Busy); v != nil {
+	if v := cmp.Or(l.Link, l.Busy); v != nil {
 		c.believe(s, *v, when, answerWeight)
 		s.fresh = s.fresh || c.set.LinkNoteEvery == 0
 	}
@@ -634,7 +639,11 @@
 	if s == nil {
 		return
 	}
-	then := c.now - c.set.NoteDelay
+	late := c.now - c.set.NoteDelay
+	then, atSetUp := late, x != nil && x.startAt > late
+	if atSetUp {
+		then = c.now
+	}
 	s.noteAt = c.now
 	switch e.Kind {
 	case NoteRung:
@@ -643,19 +652,14 @@
 			c.changed(s)
 		}
 	case NoteLink:
-		if x != nil && c.now-x.startAt < c.set.NoteDelay {
-			c.believe(s, e.Value, c.now, reportWeight)
-			return
-		}
 		c.believe(s, e.Value, then, reportWeight)
-		s.fresh, c.noted = true, c.now
-	case NoteUplink:
-		if x != nil && c.now-x.startAt < c.set.NoteDelay {
-			then = c.now
+		if !atSetUp {
+			s.fresh, c.noted = true, c.now
 		}
+	case NoteUplink:
 		c.believeUplink(c.racks[s.rack], e.Value, then, true, true)
 	case NoteShare:
-		c.shortShare(s, e.Value, then)
+		c.shortShare(s, e.Value, late)
 	}
 }
 
@@ -681,7 +685,7 @@
 	}
 }
 
-// left is how long a session is thought to play on.
+// remaining is how long a session is thought to play on.
 func (c *Controller) remaining(x *session) float64 {
 	left := guessLength
 	if x.Length > 0 {
@@ -765,14 +769,15 @@
 		c.regulateUplink(r)
 	}
 	for _, s := range c.order {
-		if c.fullness(s) >= nearFull {
+		full := c.fullness(s)
+		if full >= nearFull {
 			s.fullAt = c.now
 		}
 		if !s.fresh || len(s.held) == 0 || s.capacity <= 0 {
 			continue
 		}
 		s.fresh = false
-		full, own := c.fullness(s), c.asked(s)/s.capacity
+		own := c.asked(s) / s.capacity
 		if full > overFull {
 			c.stepDown(s.held, (full-fillTarget)*own/full*s.capacity, nil)
 			s.others *= fillTarget / full
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -590,10 +590,15 @@
 	}
 }
 
-func TestLateShareBlamesLinkThatWasFull(t *testing.T) {
+// oneRack is a front over two servers behind one uplink.
+func oneRack(t *testing.T, uplink float64) *front {
 	set := settings()
-	set.RackUplink = 5000
-	f := start(t, set, Server{ID: "s0", State: Ready, Weight: 1}, Server{ID: "s1", Cell: 2, State: Ready, Weight: 1})
+	set.RackUplink = uplink
+	return start(t, set, Server{ID: "s0", State: Ready, Weight: 1}, Server{ID: "s1", Cell: 2, State: Ready, Weight: 1})
+}
+
+func TestLateShareBlamesLinkThatWasFull(t *testing.T) {
+	f := oneRack(t, 5000)
 	before := f.c.racks[0].capacity
 	f.link(1.3)
 	f.link(.6)
@@ -610,9 +615,7 @@
 }
 
 func TestUplinkWithoutComplaintGrows(t *testing.T) {
-	set := settings()
-	set.RackUplink = 2000
-	f := start(t, set, Server{ID: "s0", State: Ready, Weight: 1}, Server{ID: "s1", Cell: 2, State: Ready, Weight: 1})
+	f := oneRack(t, 2000)
 	before := f.c.racks[0].capacity
 	f.link(.9)
 	f.step(Note{Server: "s1", Kind: NoteLink, Value: .9})
--- a/control/state.go
+++ b/control/state.go
@@ -49,7 +49,6 @@
 	mayRan   *server       // first server where a set-up may have run
 	mayRanAt time.Duration // when it was sent there
 	sentAt   time.Duration
-	taken    time.Duration
 	startAt  time.Duration
 	playing  bool
 	done     bool // answered or gone: nothing more is owed
@@ -70,7 +69,7 @@
 	allowance float64       // kB/s that own sessions may still step up by
 }
 
-func (s *server) add(x *session, now time.Duration) {
+func (s *server) add(x *session) {
 	x.on = s
 	s.held = append(s.held, x)
 }
@@ -177,13 +176,18 @@
 	return kb
 }
 
+// alike tells other sessions of x's title and class.
+func (x *session) alike(y *session) bool { return y != x && y.class == x.class && y.Title == x.Title }
+
+// shares tells sessions that can share a live stream at one server and rung.
+func (c *Controller) shares(x, y *session) bool {
+	return x.class.Live && c.set.JoinAdds > 0 && c.set.JoinAdds < 1 && x.alike(y)
+}
+
 // added is the part of its rate that x adds beside others.
 func (c *Controller) added(x *session, rung int, beside []*session) float64 {
-	if !x.class.Live || c.set.JoinAdds <= 0 || c.set.JoinAdds >= 1 {
-		return 1
-	}
 	for _, y := range beside {
-		if y != x && y.class == x.class && y.Title == x.Title && y.rung == rung {
+		if c.shares(x, y) && y.rung == rung {
 			return c.set.JoinAdds
 		}
 	}
@@ -197,8 +201,9 @@
 
 // uplink is the rate asked of a rack's uplink.
 func (c *Controller) uplink(r *rack) (kb float64) {
+	mean := c.mean()
 	for _, s := range r.servers {
-		kb += c.fullness(s) * s.capacity
+		kb += c.blend(s, mean) * s.capacity
 	}
 	return kb
 }
@@ -207,7 +212,7 @@
 func (c *Controller) seated(x *session) (n int) {
 	for _, s := range c.order {
 		for _, y := range s.held {
-			if y != x && y.class == x.class && y.Title == x.Title {
+			if x.alike(y) {
 				n++
 			}
 		}
@@ -225,13 +230,6 @@
 	return kb
 }
 
-func cmp(a, b *float64) *float64 {
-	if a != nil {
-		return a
-	}
-	return b
-}
-
 // checked returns the settings with gaps filled, or what makes no sense in them.
 func checked(set Settings) (Settings, error) {
 	if len(set.Ladder) == 0 || len(set.RungWorth) != len(set.Ladder) {
@@ -265,7 +263,7 @@
 // stream is the own session that x could share a live stream with at a server.
 func (c *Controller) stream(x *session, s *server) *session {
 	for _, y := range s.held {
-		if c.added(x, y.rung, s.held) < 1 && y != x && y.class == x.class && y.Title == x.Title {
+		if c.shares(x, y) {
 			return y
 		}
 	}
