--- a/control/control.go
+++ b/control/control.go
@@ -66,6 +66,10 @@
 	beating  bool
 	asking   bool // a subscription was asked for and has not failed
 	noted    time.Duration
+
+	meanIs      float64
+	meanKnown   bool // nothing that the mean rests on changed since it was worked out
+	evaluations int  // servers looked at for means; tests bound it
 }
 
 // New returns the controller of one front, or an error if the settings make no sense.
@@ -134,7 +138,7 @@
 		}
 		return
 	}
-	c.order = merge(c.known, u)
+	c.order, c.meanKnown = merge(c.known, u), false
 	for _, s := range c.order {
 		if s.Started > 0 && s.Started > s.coldFrom {
 			s.coldFrom = s.Started
@@ -156,7 +160,7 @@
 	if s.capacity <= 0 {
 		return mean
 	}
-	own := c.asked(s) / s.capacity
+	own := s.asked / s.capacity
 	if c.set.Reports == ReportsNone {
 		return own + s.others
 	}
@@ -168,14 +172,22 @@
 }
 
 // mean is the mean fullness of the servers heard from; before any was, the own sessions times the
-// number of fronts, or a guess where a front knows of none.
+// number of fronts, or a guess where a front knows of none. It is worked out anew after a change only.
 func (c *Controller) mean() float64 {
+	if !c.meanKnown {
+		c.meanKnown, c.meanIs = true, c.workOutMean()
+	}
+	return c.meanIs
+}
+
+func (c *Controller) workOutMean() float64 {
+	c.evaluations += len(c.order)
 	sum, n, own, all := 0.0, 0.0, 0.0, 0.0
 	for _, s := range c.order {
 		if s.State == Ready && s.capacity > 0 {
-			own, all = own+c.asked(s), all+s.capacity
+			own, all = own+s.asked, all+s.capacity
 			if s.heard {
-				sum, n = sum+s.others+c.asked(s)/s.capacity, n+1
+				sum, n = sum+s.others+s.asked/s.capacity, n+1
 			}
 		}
 	}
@@ -416,12 +428,14 @@
 	}
 	x.rung = x.class.Floor
 	s.add(x)
+	c.changed(s)
 	if need := -c.room(s, admitLimit); need > 0 {
 		c.stepDown(s.held, need, x)
 	}
 	top := min(x.Best, x.class.Top)
 	if y := c.stream(x, s); y != nil && y.rung <= top {
 		x.rung, top = y.rung, y.rung
+		c.changed(s)
 	}
 	for x.rung < top {
 		step := c.rate(x, x.rung+1) - c.rate(x, x.rung)
@@ -431,11 +445,11 @@
 			break
 		}
 		x.rung++
+		c.changed(s)
 	}
 	x.attempts++
 	x.tried = append(x.tried, s)
 	x.sentAt, s.lastSend = c.now, c.now
-	c.changed(s)
 	c.act(SetRung{x.ID, x.rung})
 	c.act(Send{x.ID, s.ID, c.patience(x)})
 }
@@ -605,6 +619,7 @@
 		s.capacity *= 1 + linkWeight*(min(own/full, 1.5)-1)
 		own = full
 	}
+	c.meanKnown = false
 	if !s.heard || c.now-s.othersAt > oldReport {
 		weight = 1
 	}
@@ -624,7 +639,7 @@
 	ownThen, ownNow := 0.0, 0.0
 	for _, s := range r.servers {
 		ownThen += at(s.history, when)
-		ownNow += c.asked(s)
+		ownNow += s.asked
 	}
 	seen := max(c.uplink(r)+ownThen-ownNow, 0) / full
 	seen = min(max(seen, r.prior/6), r.prior*2)
@@ -777,15 +792,17 @@
 			continue
 		}
 		s.fresh = false
-		own := c.asked(s) / s.capacity
+		own := s.asked / s.capacity
 		if full > overFull {
 			c.stepDown(s.held, (full-fillTarget)*own/full*s.capacity, nil)
 			s.others *= fillTarget / full
+			c.meanKnown = false
 		} else if c.now-s.shortAt > stepEvery && full < riseTarget {
 			mine := (riseTarget - full) * s.capacity * upPart * own / max(full, 1e-9)
 			taken := c.stepUp(s, min(mine, c.racks[s.rack].allowance))
 			c.racks[s.rack].allowance -= taken
 			s.others += taken / s.capacity * max(full-own, 0) / max(own, 1e-9)
+			c.meanKnown = false
 		}
 	}
 }
@@ -801,7 +818,7 @@
 	var held []*session
 	for _, s := range r.servers {
 		held = append(held, s.held...)
-		own += c.asked(s)
+		own += s.asked
 	}
 	short := r.short < overFull && c.now-r.shortAt < stepEvery
 	if !r.told && !short && asked > growFrom*r.capacity {
@@ -816,6 +833,7 @@
 		for _, s := range r.servers {
 			s.others *= fillTarget * r.capacity / asked
 		}
+		c.meanKnown = false
 	} else if c.now-r.allowed >= max(c.set.LinkNoteEvery, stepEvery) {
 		r.allowed, r.allowance = c.now, 0
 		if !short {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -670,3 +670,30 @@
 		}
 	}
 }
+
+// A beat and a request look at each server a bounded number of times, however many servers there are.
+func TestWorkGrowsWithTheFleetOnly(t *testing.T) {
+	work := func(n int) (perEvent float64) {
+		set := settings()
+		set.Cells, set.Racks, set.LinksTotal, set.RackUplink, set.Fronts = n, n/5, float64(2000*n), 8000, n
+		var servers []Server
+		for i := range n {
+			servers = append(servers, Server{ID: fmt.Sprintf("s%03d", i), Cell: i, State: Ready, Weight: 1})
+		}
+		f := start(t, set, servers...)
+		for i := range 10 {
+			s := f.sent(f.step(Request{ID: fmt.Sprint("a", i), Home: i, Span: 5, Best: 2, Due: f.now + 4*time.Second}))
+			f.step(Started{ID: fmt.Sprint("a", i), Server: s}, Note{ID: fmt.Sprint("a", i), Server: s, Kind: NoteLink, Value: .5})
+		}
+		before := f.c.evaluations
+		for range 20 {
+			f.now += beat
+			f.step(TimerFired{"beat"})
+		}
+		return float64(f.c.evaluations-before) / 20
+	}
+	small, large := work(50), work(400)
+	if large > 8*small+400 || large > 4*400 {
+		t.Errorf("%.0f servers looked at a beat in a fleet of 400, %.0f in one of 50", large, small)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -13,6 +13,7 @@
 	rack     int
 	capacity float64    // kB/s, as learned
 	held     []*session // from Send (or hand-over) to Ended, in order of arrival
+	asked    float64    // kB/s, the own sessions' rate
 	history  []sample   // own rate asked, oldest first
 
 	others       float64 // rest of the link's fullness, beyond the own sessions
@@ -168,8 +169,8 @@
 	return c.set.Ladder[rung] * x.class.RateFactor
 }
 
-// asked is the own sessions' rate at a server; viewers of one live title at one rung share a stream.
-func (c *Controller) asked(s *server) (kb float64) {
+// ownRate is the own sessions' rate at a server; viewers of one live title at one rung share a stream.
+func (c *Controller) ownRate(s *server) (kb float64) {
 	for i, x := range s.held {
 		kb += c.rate(x, x.rung) * c.added(x, x.rung, s.held[:i])
 	}
@@ -194,9 +195,10 @@
 	return 1
 }
 
-// changed records the own rate after a change at a server.
+// changed works out and records the own rate after a change at a server.
 func (c *Controller) changed(s *server) {
-	s.history = record(s.history, c.now, c.asked(s), keepHistory)
+	s.asked, c.meanKnown = c.ownRate(s), false
+	s.history = record(s.history, c.now, s.asked, keepHistory)
 }
 
 // uplink is the rate asked of a rack's uplink.
