--- a/control/state.go
+++ b/control/state.go
@@ -30,7 +30,7 @@
 	avoidTill    time.Duration
 	coldFrom     time.Duration // 0: warm
 	lastSend     time.Duration
-	probing      bool
+	lookedAt     time.Duration
 }
 
 type sample struct {
@@ -43,7 +43,8 @@
 	Request
 	class    *Class
 	worth    float64
-	on       *server // while an attempt is out or playing
+	looking  []*server // asked for their load before the choice
+	on       *server   // while an attempt is out or playing
 	rung     int
 	attempts int
 	tried    []*server
