--- a/control/control.go
+++ b/control/control.go
@@ -9,27 +9,22 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 )
 
 // Tuned values. Fullness is the rate asked of a link or uplink over what it gives.
 const (
-	fillTarget   = 0.90 // steps down aim here: true rates swing around the ladder's
-	riseTarget   = 0.88 // steps up and newcomers fill to this: crowds come unannounced
-	overFull     = 1.02 // calls for steps down: past it the share delivered is short
-	nearFull     = 0.90 // a link this full lately is blamed for a short share
-	admitLimit   = 1.0  // fullness up to which a lowest rung is still let in
-	tieWidth     = 0.10 // fullness: links this close count as equal: reports are that noisy
-	zoneWeight   = 2.5  // fullness that crossing zones must gain, by its price
-	startShare   = 0.15 // part of the room left that one newcomer may take
-	swapGain     = 1.5  // a step up must earn so many times what its step down loses
-	switchGain   = 2.5  // a step up must earn so many times the price of a switch
-	reportWeight = 0.8  // weight of a new note against what was believed
-	lookWeight   = 0.7
-	looks        = 2
-	lookFor      = 50 * time.Millisecond
-	freshFor     = time.Second
+	fillTarget   = 0.90                   // steps down aim here: true rates swing around the ladder's
+	riseTarget   = 0.88                   // steps up and newcomers fill to this: crowds come unannounced
+	overFull     = 1.02                   // calls for steps down: past it the share delivered is short
+	nearFull     = 0.90                   // a link this full lately is blamed for a short share
+	admitLimit   = 1.0                    // fullness up to which a lowest rung is still let in
+	tieWidth     = 0.10                   // fullness: links this close count as equal: reports are that noisy
+	zoneWeight   = 2.5                    // fullness that crossing zones must gain, by its price
+	startShare   = 0.15                   // part of the room left that one newcomer may take
+	swapGain     = 1.5                    // a step up must earn so many times what its step down loses
+	switchGain   = 2.5                    // a step up must earn so many times the price of a switch
+	reportWeight = 0.8                    // weight of a new note against what was believed
 	answerWeight = 0.3                    // the same for a report in an answer: noisy, its age unknown
 	oldReport    = 12 * time.Second       // a report this old has half its say, the fleet's mean the rest
 	uplinkWeight = 0.3                    // weight of new evidence on what an uplink gives
@@ -71,7 +66,6 @@
 	beating  bool
 	asking   bool // a subscription was asked for and has not failed
 	noted    time.Duration
-	waiting  []*session // for what a look finds
 
 	meanIs      float64
 	meanKnown   bool // nothing that the mean rests on changed since it was worked out
@@ -133,11 +127,6 @@
 	case "subscribe":
 		c.asking = true
 		c.act(Subscribe{})
-	default:
-		if x := c.sessions[strings.TrimPrefix(e.Label, "look ")]; x != nil && len(x.looking) > 0 {
-			x.looking = nil
-			c.place(x)
-		}
 	}
 }
 
@@ -253,42 +242,28 @@
 			x.worth *= c.set.Over
 		}
 	}
-	if c.set.Probes && c.look(x) {
-		c.act(SetTimer{lookFor, "look " + x.ID})
-		c.waiting = append(c.waiting, x)
-		return
-	}
 	c.place(x)
+	if c.set.Reports == ReportsByProbe && c.set.Probes {
+		c.probe(x)
+	}
 }
 
-// look asks some holders that were not heard of lately for their load before one is chosen.
-func (c *Controller) look(x *session) bool {
-	var stale []*server
+// probe asks the holder that was heard of longest ago for its load: one probe a request, so that the
+// price of probes stays in step with the traffic.
+func (c *Controller) probe(x *session) {
+	var oldest *server
 	for _, s := range c.order {
-		if c.allowed(x, s) && !c.suspect(x, s) && c.now-s.lookedAt > freshFor {
-			stale = append(stale, s)
+		if s.State != Ready || s.probing || !s.holds(x.Home, x.Span, c.set.Cells) {
+			continue
 		}
-	}
-	c.rng.Shuffle(len(stale), func(i, j int) { stale[i], stale[j] = stale[j], stale[i] })
-	for _, s := range stale[:min(len(stale), looks)] {
-		s.lookedAt = c.now
-		x.looking = append(x.looking, s)
-		c.act(Probe{s.ID})
-	}
-	return len(x.looking) > 0
-}
-
-// looked takes what a look found, and places the requests that waited for it alone.
-func (c *Controller) looked(s *server) {
-	for _, x := range c.waiting {
-		if i := slices.Index(x.looking, s); i >= 0 {
-			x.looking = slices.Delete(x.looking, i, i+1)
-			if len(x.looking) == 0 && !x.done {
-				c.place(x)
-			}
+		if oldest == nil || s.othersAt < oldest.othersAt {
+			oldest = s
 		}
 	}
-	c.waiting = slices.DeleteFunc(c.waiting, func(x *session) bool { return len(x.looking) == 0 })
+	if oldest != nil {
+		oldest.probing = true
+		c.act(Probe{oldest.ID})
+	}
 }
 
 // place sends a request to a server, or ends it. The least loaded holder with room decides;
@@ -559,7 +534,7 @@
 func (c *Controller) ended(e Ended) {
 	s, x := c.known[e.Server], c.sessions[e.ID]
 	if s != nil {
-		c.load(s, e.Load, c.now, answerWeight)
+		c.load(s, e.Load, c.now)
 	}
 	if x == nil || s == nil || x.on != s {
 		return
@@ -610,18 +585,18 @@
 
 func (c *Controller) probed(e Probed) {
 	if s := c.known[e.Server]; s != nil {
-		c.load(s, e.Load, c.now, lookWeight)
-		c.looked(s)
+		s.probing = false
+		c.load(s, e.Load, c.now)
 	}
 }
 
 // load takes a load report.
-func (c *Controller) load(s *server, l *Load, when time.Duration, weight float64) {
+func (c *Controller) load(s *server, l *Load, when time.Duration) {
 	if l == nil {
 		return
 	}
 	if v := cmp.Or(l.Link, l.Busy); v != nil {
-		c.believe(s, *v, when, weight)
+		c.believe(s, *v, when, answerWeight)
 		s.fresh = s.fresh || c.set.LinkNoteEvery == 0
 	}
 	if l.Streams != nil {
--- a/control/state.go
+++ b/control/state.go
@@ -30,7 +30,7 @@
 	avoidTill    time.Duration
 	coldFrom     time.Duration // 0: warm
 	lastSend     time.Duration
-	lookedAt     time.Duration
+	probing      bool
 }
 
 type sample struct {
@@ -43,8 +43,7 @@
 	Request
 	class    *Class
 	worth    float64
-	looking  []*server // asked for their load before the choice
-	on       *server   // while an attempt is out or playing
+	on       *server // while an attempt is out or playing
 	rung     int
 	attempts int
 	tried    []*server
