Keepers by short messages; lost answers told from restarts; first set-ups to a cold server spread over the fronts

Change: fronts tell the keeper of a block of cells what they do and hear there, and ask it before the choice (100 ms at most); pace only after a lost connection, three unanswered in a row or a told start, first set-ups at a random part of the gap; notes on an older session clear it; paid ones try a single lost answer when nothing is left.

--- a/control/api.go
+++ b/control/api.go
@@ -295,8 +295,11 @@
 // ReadList asks for the whole list once.
 type ReadList struct{}
 
-// TellPeers sends a short message to every other front.
-type TellPeers struct{ Data string }
+// Tell sends a short message to one other front.
+type Tell struct {
+	To   int
+	Data string
+}
 
 func (Send) action()      {}
 func (SetRung) action()   {}
@@ -308,4 +311,4 @@
 func (SetTimer) action()  {}
 func (Subscribe) action() {}
 func (ReadList) action()  {}
-func (TellPeers) action() {}
+func (Tell) action()      {}
--- a/control/control.go
+++ b/control/control.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -25,6 +24,13 @@
 	swapGain     = 1.5                    // a step up must earn so many times what its step down loses
 	switchGain   = 2.5                    // a step up must earn so many times the price of a switch
 	reportWeight = 0.8                    // weight of a new note against what was believed
+	keeperWeight = 0.9                    // weight of a keeper's answer: it heard of all fronts
+	keepCells    = 8                      // cells in a row whose servers one front keeps
+	mostKeepers  = 3                      // asked for one request: titles held by many need no more
+	answerWait   = 100 * time.Millisecond // longest wait for keepers: a small part of any aim
+	giveUpAsking = 3                      // unanswered questions in a row, then no request waits
+	tellers      = 1.5                    // fronts that pass a note on to the keeper
+	streamsKept  = 10 * time.Second       // a keeper counts streams on from a report so long
 	answerWeight = 0.3                    // the same for a report in an answer: noisy, its age unknown
 	oldReport    = 12 * time.Second       // a report this old has half its say, the fleet's mean the rest
 	uplinkWeight = 0.3                    // weight of new evidence on what an uplink gives
@@ -40,6 +46,7 @@
 	patiencePart = 0.45                   // of the aim: unanswered this long, a set-up is tried elsewhere
 	streamsFor   = time.Second            // a report of the streams holds so long; then a set-up may ask anew
 	avoidFirst   = time.Second            // rest for a failing server, doubled at each failure
+	brokenAfter  = 3                      // set-ups unanswered in a row: as if restarted
 	avoidMost    = 8 * time.Second        // and at most this, so that a mended one is soon found
 	silentNotes  = 4.0                    // note periods missed by one server alone: suspect
 	deadShare    = 0.2                    // a delivered share under this is a standstill, not a full link
@@ -50,86 +57,6 @@
 	noMoreThan   = 3.0                    // fullness reports are clipped here
 )
 
-// Controller makes the decisions of one front.
-type Controller struct {
-	set      Settings
-	rng      *rand.Rand
-	now      time.Duration
-	out      []Action
-	known    map[string]*server
-	order    []*server // by id
-	racks    []*rack
-	sessions map[string]*session
-	taken    []time.Duration         // requests, for the attempt budget
-	further  []time.Duration         // attempts beyond a request's first
-	tenants  map[int][]time.Duration // requests of a tenant in the last second
-	beating  bool
-	asking   bool // a subscription was asked for and has not failed
-	noted    time.Duration
-
-	meanIs      float64
-	meanKnown   bool // nothing that the mean rests on changed since it was worked out
-	evaluations int  // servers looked at for means; tests bound it
-}
-
-// New returns the controller of one front, or an error if the settings make no sense.
-func New(set Settings, seed uint64) (*Controller, error) {
-	set, err := checked(set)
-	if err != nil {
-		return nil, err
-	}
-	set.Fronts = max(set.Fronts, 1)
-	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), known: map[string]*server{},
-		sessions: map[string]*session{}, tenants: map[int][]time.Duration{}}, nil
-}
-
-// Step takes what the front saw at a time and returns what it is to do.
-func (c *Controller) Step(now time.Duration, events []Event) []Action {
-	c.now, c.out = max(now, c.now), nil
-	if !c.beating {
-		c.beating = true
-		c.act(SetTimer{beat + time.Duration(c.rng.Int64N(int64(beat))), "beat"})
-	}
-	if c.set.Subscribe && !c.asking {
-		c.asking = true
-		c.act(Subscribe{})
-	}
-	for _, e := range events {
-		switch e := e.(type) {
-		case ListUpdate:
-			c.list(e)
-		case Request:
-			c.request(e)
-		case Started:
-			c.started(e)
-		case Note:
-			c.note(e)
-		case Ended:
-			c.ended(e)
-		case Left:
-			c.left(e)
-		case Probed:
-			c.probed(e)
-		case TimerFired:
-			c.timer(e)
-		}
-	}
-	return c.out
-}
-
-func (c *Controller) act(a Action) { c.out = append(c.out, a) }
-
-func (c *Controller) timer(e TimerFired) {
-	switch e.Label {
-	case "beat":
-		c.act(SetTimer{beat, "beat"})
-		c.regulate()
-	case "subscribe":
-		c.asking = true
-		c.act(Subscribe{})
-	}
-}
-
 // list follows the server list. A failed subscription is asked for again after a while.
 func (c *Controller) list(u ListUpdate) {
 	if u.Failed {
@@ -140,8 +67,10 @@
 	}
 	c.order, c.meanKnown = merge(c.known, u), false
 	for _, s := range c.order {
+		c.marks[markOf(s.ID)] = s
 		if s.Started > 0 && s.Started > s.coldFrom {
 			s.coldFrom = s.Started
+			c.pace(s)
 		}
 		s.rack = 0
 		if c.set.Racks > 0 {
@@ -230,6 +159,7 @@
 		if s := c.known[e.Server]; s != nil {
 			s.add(x)
 			c.changed(s)
+			s.toldRate, s.toldStreams = s.asked, len(s.held)
 		}
 		return
 	}
@@ -242,12 +172,48 @@
 			x.worth *= c.set.Over
 		}
 	}
+	if c.ask(x) {
+		return
+	}
 	c.place(x)
 	if c.set.Reports == ReportsByProbe && c.set.Probes {
 		c.probe(x)
 	}
 }
 
+// keeper is the front that collects what fronts tell of the servers of a cell. Cells in a row share
+// one, so that a question or two cover a title's holders.
+func (c *Controller) keeper(cell int) int {
+	return ((cell/keepCells)%c.set.Fronts + c.set.Fronts) % c.set.Fronts
+}
+
+// ask puts a question to the keepers of a title's holders; the choice waits for them a moment. Where
+// questions go unanswered it does not wait: the answers, if any, serve later requests.
+func (c *Controller) ask(x *session) bool {
+	if !c.set.Peers || c.set.Fronts < 2 {
+		return false
+	}
+	for _, s := range c.order {
+		k := c.keeper(s.Cell)
+		if k != c.set.Position && s.State == Ready && s.holds(x.Home, x.Span, c.set.Cells) &&
+			len(x.asking) < mostKeepers && !slices.Contains(x.asking, k) {
+			x.asking = append(x.asking, k)
+			m := message{kind: messageQuestion, stamp: c.nextStamp(), home: x.Home, span: x.Span}
+			c.act(Tell{k, encode(m)})
+		}
+	}
+	if len(x.asking) == 0 {
+		return false
+	}
+	if c.unanswered >= giveUpAsking {
+		x.asking = nil
+		return false
+	}
+	c.waiting = append(c.waiting, x)
+	c.act(SetTimer{answerWait, "look " + x.ID})
+	return true
+}
+
 // probe asks the holder that was heard of longest ago for its load: one probe a request, so that the
 // price of probes stays in step with the traffic.
 func (c *Controller) probe(x *session) {
@@ -321,26 +287,31 @@
 	return true
 }
 
-// paceAllows splits the pace that a freshly started server stands over all fronts. It acts too on
-// a server that failed and may come back cold before the list says so. Harm: a server that merely
-// hung gets work back slowly.
+// paceAllows splits the pace that a freshly started server stands over all fronts: each waits a random
+// part of its gap before the first set-up, so that the fronts do not come together when they are told.
+// It acts too on a server that broke and may be back, cold, before the list says so; without an answer
+// that ends a ramp after the last failure. Harm: a server that merely hung gets work back slowly.
 func (c *Controller) paceAllows(s *server) bool {
-	if c.set.Ramp <= 0 || s.fails == 0 && (s.coldFrom == 0 || c.now-s.coldFrom >= c.set.Ramp) {
+	broke := s.broke && c.now-s.failedAt < c.set.Ramp
+	if c.set.Ramp <= 0 || !broke && (s.coldFrom == 0 || c.now-s.coldFrom >= c.set.Ramp) {
 		return true
 	}
 	share := c.set.StartShare
-	if s.fails == 0 {
+	if !broke {
 		share += (1 - share) * max(0, float64(c.now-s.coldFrom)) / float64(c.set.Ramp)
 	}
 	perSecond := float64(max(c.streams(s), 1)) / c.set.Ramp.Seconds() * share
 	perSecond *= coldMargin * max(c.set.FallFactor, 1)
-	gap := time.Duration(float64(c.set.Fronts) / max(perSecond, 0.01) * float64(time.Second))
-	return s.lastSend == 0 || c.now-s.lastSend >= gap
+	gap := float64(c.set.Fronts) / max(perSecond, 0.01)
+	return (c.now - max(s.pacedFrom, s.lastSend)).Seconds() >= s.gapPart*gap
 }
 
+// pace starts the pacing of a server.
+func (c *Controller) pace(s *server) { s.pacedFrom, s.gapPart = c.now, c.rng.Float64() }
+
 // suspect judges by symptoms, whatever the cause: set-ups that failed or went unanswered, sessions
-// that broke, a standstill, or silence while others are heard. Paid set-ups stay off a server
-// until it has served again, since a doubtful end can be neither resent nor refused.
+// that broke, or silence while others are heard. Paid set-ups stay off such a server until it has
+// served again, since a doubtful end can be neither resent nor refused.
 func (c *Controller) suspect(x *session, s *server) bool {
 	if slices.Contains(x.tried, s) || c.silent(s) {
 		return true
@@ -368,10 +339,11 @@
 }
 
 // trials are the suspects worth a try when nobody else is left; those that x has not met come first.
-// Their pace keeps set-ups from piling up on them.
+// A paid set-up only tries those of which one answer is missing, which may be all that is wrong.
 func (c *Controller) trials(x *session, suspects []*server) []*server {
 	if x.class.Effect == AtMostOnce {
-		return nil
+		worse := func(s *server) bool { return s.broke || c.silent(s) || s.settingUp() > 0 }
+		return slices.DeleteFunc(suspects, worse)
 	}
 	met := func(s *server) bool { return slices.Contains(x.tried, s) }
 	if untried := slices.DeleteFunc(slices.Clone(suspects), met); len(untried) > 0 {
@@ -449,7 +421,7 @@
 	}
 	x.attempts++
 	x.tried = append(x.tried, s)
-	x.sentAt, s.lastSend = c.now, c.now
+	x.sentAt, s.lastSend, s.gapPart = c.now, c.now, 1
 	c.act(SetRung{x.ID, x.rung})
 	c.act(Send{x.ID, s.ID, c.patience(x)})
 }
@@ -515,17 +487,32 @@
 	}
 }
 
-// answers clears a server that served; one that had failed counts as freshly started.
+// answers clears a server that served; one that had broken counts as freshly started.
 func (c *Controller) answers(s *server) {
-	if s.fails > 0 {
+	if s.broke {
 		s.coldFrom = c.now
+		c.pace(s)
 	}
-	s.fails, s.avoidTill = 0, 0
+	s.fails, s.avoidTill, s.broke = 0, 0, false
 }
 
-// failed marks a server and leaves it alone for a while, longer each time.
-func (c *Controller) failed(s *server) {
+// alive is told by a note on a session that played before the last failure: the server did not restart,
+// so what failed was an answer or the way to it. One doubt stays, which paid set-ups heed.
+func (c *Controller) alive(s *server, x *session) {
+	if s.fails > 0 && x != nil && x.on == s && x.playing && x.startAt < s.failedAt-c.set.NoteDelay {
+		s.fails, s.broke = 1, false
+	}
+}
+
+// failed marks a server and leaves it alone for a while, longer each time. A lost connection, or several
+// set-ups unanswered in a row, look like a restart; one unanswered set-up may be a lost answer.
+func (c *Controller) failed(s *server, o Outcome) {
 	s.fails++
+	s.failedAt = c.now
+	if lost := o == Reset || o == ConnectFailed || s.fails >= brokenAfter; lost && !s.broke {
+		s.broke = true
+		c.pace(s)
+	}
 	wait := min(avoidFirst<<min(s.fails-1, 10), avoidMost)
 	s.avoidTill = c.now + wait/2 + time.Duration(c.rng.Int64N(int64(wait)))
 }
@@ -551,7 +538,7 @@
 		s.fullTill = c.now + fullWait
 	case TimedOut, ConnectFailed, Reset, Failed:
 		if !x.playing || e.Outcome == Reset {
-			c.failed(s)
+			c.failed(s, e.Outcome)
 		}
 	}
 	if e.Final || x.done {
@@ -599,8 +586,13 @@
 		c.believe(s, *v, when, answerWeight)
 		s.fresh = s.fresh || c.set.LinkNoteEvery == 0
 	}
+	streams := -1
 	if l.Streams != nil {
-		s.streamsAt, s.otherStreams = c.now, max(int(*l.Streams+0.5)-len(s.held), 0)
+		streams = int(*l.Streams + 0.5)
+	}
+	c.runs(s, streams)
+	if l.Link != nil && c.set.Peers {
+		c.shareReport(s, *l.Link, streams, false)
 	}
 	if l.Uplink != nil {
 		c.believeUplink(c.racks[s.rack], *l.Uplink, when, true, false)
@@ -619,18 +611,22 @@
 		s.capacity *= 1 + linkWeight*(min(own/full, 1.5)-1)
 		own = full
 	}
-	c.meanKnown = false
-	if !s.heard || c.now-s.othersAt > oldReport {
-		weight = 1
-	}
-	s.others += weight * (full - own - s.others)
-	s.others = max(s.others, 0)
-	s.heard, s.othersAt = true, c.now
+	own -= (s.peerRate - at(s.peerHistory, when)) / s.capacity // what others told since belongs to them
+	c.hear(s, full-own, weight)
 	if full >= nearFull {
 		s.fullAt = c.now
 	}
 }
 
+// hear takes what the others' part of a link's fullness is said to be.
+func (c *Controller) hear(s *server, others, weight float64) {
+	if !s.heard || c.now-s.othersAt > oldReport {
+		weight = 1
+	}
+	s.others = max(s.others+weight*(others-s.others), 0)
+	s.heard, s.othersAt, c.meanKnown = true, c.now, false
+}
+
 // believeUplink learns what a rack's uplink gives from its fullness at a time.
 func (c *Controller) believeUplink(r *rack, full float64, when time.Duration, told, note bool) {
 	if !(full > 0.05) || r.prior <= 0 {
@@ -667,6 +663,11 @@
 			c.changed(s)
 		}
 	case NoteLink:
+		c.alive(s, x)
+		part := s.asked / max(s.capacity, 1) / max(e.Value, 0.1)
+		if c.set.Peers && (atSetUp || c.rng.Float64() < tellers*part) {
+			c.shareReport(s, e.Value, -1, !atSetUp)
+		}
 		c.believe(s, e.Value, then, reportWeight)
 		if !atSetUp {
 			s.fresh, c.noted = true, c.now
--- a/control/state.go
+++ b/control/state.go
@@ -2,11 +2,109 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 )
 
+// Controller makes the decisions of one front.
+type Controller struct {
+	set      Settings
+	rng      *rand.Rand
+	now      time.Duration
+	out      []Action
+	known    map[string]*server
+	order    []*server // by id
+	racks    []*rack
+	sessions map[string]*session
+	taken    []time.Duration         // requests, for the attempt budget
+	further  []time.Duration         // attempts beyond a request's first
+	tenants  map[int][]time.Duration // requests of a tenant in the last second
+	beating  bool
+	asking   bool // a subscription was asked for and has not failed
+	noted    time.Duration
+
+	waiting    []*session      // for answers of keepers
+	unanswered int             // questions in a row that no keeper answered
+	stamp      int             // of the last message sent
+	stamps     map[int]int     // of the last message taken from each front
+	touched    []*server       // own sessions changed in this step
+	marks      map[int]*server // by the short names that messages use
+
+	meanIs      float64
+	meanKnown   bool // nothing that the mean rests on changed since it was worked out
+	evaluations int  // servers looked at for means; tests bound it
+}
+
+// New returns the controller of one front, or an error if the settings make no sense.
+func New(set Settings, seed uint64) (*Controller, error) {
+	set, err := checked(set)
+	if err != nil {
+		return nil, err
+	}
+	set.Fronts = max(set.Fronts, 1)
+	return &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 1)), known: map[string]*server{},
+		sessions: map[string]*session{}, tenants: map[int][]time.Duration{},
+		stamps: map[int]int{}, marks: map[int]*server{}}, nil
+}
+
+// Step takes what the front saw at a time and returns what it is to do.
+func (c *Controller) Step(now time.Duration, events []Event) []Action {
+	c.now, c.out = max(now, c.now), nil
+	if !c.beating {
+		c.beating = true
+		c.act(SetTimer{beat + time.Duration(c.rng.Int64N(int64(beat))), "beat"})
+	}
+	if c.set.Subscribe && !c.asking {
+		c.asking = true
+		c.act(Subscribe{})
+	}
+	for _, e := range events {
+		switch e := e.(type) {
+		case ListUpdate:
+			c.list(e)
+		case Request:
+			c.request(e)
+		case Started:
+			c.started(e)
+		case Note:
+			c.note(e)
+		case Ended:
+			c.ended(e)
+		case Left:
+			c.left(e)
+		case Probed:
+			c.probed(e)
+		case PeerMessage:
+			c.peer(e)
+		case TimerFired:
+			c.timer(e)
+		}
+	}
+	c.tell()
+	return c.out
+}
+
+func (c *Controller) timer(e TimerFired) {
+	switch e.Label {
+	case "beat":
+		c.act(SetTimer{beat, "beat"})
+		c.regulate()
+	case "subscribe":
+		c.asking = true
+		c.act(Subscribe{})
+	default:
+		if x := c.sessions[strings.TrimPrefix(e.Label, "look ")]; x != nil && len(x.asking) > 0 {
+			c.unanswered++
+			x.asking = nil
+			c.answered()
+		}
+	}
+}
+
+func (c *Controller) act(a Action) { c.out = append(c.out, a) }
+
 // server is what one front knows of one server. Judgements on it live in control.go.
 type server struct {
 	Server
@@ -28,9 +126,20 @@
 	noteAt       time.Duration // last note of any kind
 	fails        int           // set-ups and sessions lost in a row
 	avoidTill    time.Duration
+	failedAt     time.Duration
+	broke        bool          // may have restarted since
 	coldFrom     time.Duration // 0: warm
+	pacedFrom    time.Duration
+	gapPart      float64 // part of its gap that this front waits before the next set-up
 	lastSend     time.Duration
 	probing      bool
+
+	toldRate    float64 // kB/s and streams that the keeper was told of
+	toldStreams int
+	touched     bool
+	newFull     *about  // a report that the keeper should hear of
+	peerRate    float64 // kB/s, sum of the changes that other fronts told
+	peerHistory []sample
 }
 
 type sample struct {
@@ -43,6 +152,7 @@
 	Request
 	class    *Class
 	worth    float64
+	asking   []int   // keepers asked before the choice
 	on       *server // while an attempt is out or playing
 	rung     int
 	attempts int
@@ -199,6 +309,31 @@
 func (c *Controller) changed(s *server) {
 	s.asked, c.meanKnown = c.ownRate(s), false
 	s.history = record(s.history, c.now, s.asked, keepHistory)
+	c.touch(s)
+}
+
+// touch notes that there may be news of a server.
+func (c *Controller) touch(s *server) {
+	if !s.touched {
+		s.touched = true
+		c.touched = append(c.touched, s)
+	}
+}
+
+// nextStamp is higher than every one before, also after a restart.
+func (c *Controller) nextStamp() int {
+	c.stamp = max(c.stamp+1, int(c.now/(10*time.Millisecond)))
+	return c.stamp % stampSpan
+}
+
+// newer takes a stamp that is higher than the last one of that front.
+func (c *Controller) newer(from, stamp int) bool {
+	last, known := c.stamps[from]
+	if ahead := (stamp - last + stampSpan) % stampSpan; known && (ahead == 0 || ahead >= stampSpan/2) {
+		return false
+	}
+	c.stamps[from] = stamp
+	return true
 }
 
 // uplink is the rate asked of a rack's uplink.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -76,7 +76,7 @@
 	In        *int64  `json:"in,omitempty"`
 	Label     string  `json:"label,omitempty"`
 	Active    *bool   `json:"active,omitempty"`
-	Recipient string  `json:"recipient,omitempty"`
+	Recipient *int    `json:"recipient,omitempty"`
 	Data      *string `json:"data,omitempty"`
 	Words     string  `json:"words,omitempty"`
 }
@@ -297,8 +297,8 @@
 		m.M, m.Active = "Track", &yes
 	case control.ReadList:
 		m.M = "ReadList"
-	case control.TellPeers:
-		m.M, m.Recipient, m.Data = "BroadcastTo", "*", &a.Data
+	case control.Tell:
+		m.M, m.Recipient, m.Data = "BroadcastTo", &a.To, &a.Data
 	}
 	return m
 }
