--- a/control/control.go
+++ b/control/control.go
@@ -25,6 +25,7 @@
 	switchGain   = 2.5                    // a step up must earn so many times the price of a switch
 	reportWeight = 0.8                    // weight of a new note against what was believed
 	keeperWeight = 0.9                    // weight of a keeper's answer: it heard of all fronts
+	ownView      = 0.5                    // own sessions at more of the servers than this: own notes do
 	keepCells    = 8                      // cells in a row whose servers one front keeps
 	mostKeepers  = 3                      // asked for one request: titles held by many need no more
 	answerWait   = 100 * time.Millisecond // longest wait for keepers: a small part of any aim
@@ -190,12 +191,13 @@
 // ask puts a question to the keepers of a title's holders; the choice waits for them a moment. Where
 // questions go unanswered it does not wait: the answers, if any, serve later requests.
 func (c *Controller) ask(x *session) bool {
-	if !c.set.Peers || c.set.Fronts < 2 {
+	if !c.set.Peers || c.seesFleet {
 		return false
 	}
 	for _, s := range c.order {
 		k := c.keeper(s.Cell)
-		if k != c.set.Position && s.State == Ready && s.holds(x.Home, x.Span, c.set.Cells) &&
+		known := len(s.held) > 0 && c.now-s.othersAt < c.set.LinkNoteEvery+c.set.NoteDelay
+		if !known && k != c.set.Position && s.State == Ready && s.holds(x.Home, x.Span, c.set.Cells) &&
 			len(x.asking) < mostKeepers && !slices.Contains(x.asking, k) {
 			x.asking = append(x.asking, k)
 			m := message{kind: messageQuestion, stamp: c.nextStamp(), home: x.Home, span: x.Span}
@@ -777,10 +779,25 @@
 	return true
 }
 
+// informed tells a server of which other fronts report what they do: nothing is to be guessed then.
+func (c *Controller) informed(s *server) bool {
+	return s.newsAt > 0 && c.now-s.newsAt < max(c.set.LinkNoteEvery, stepEvery)
+}
+
 // regulate corrects rungs while sessions play. All fronts hear of a link at the same moment, so each
 // corrects its own share of what is over or free, once for each report, and then believes that the
 // others did likewise until the next one tells.
 func (c *Controller) regulate() {
+	ready, seen := 0, 0
+	for _, s := range c.order {
+		if s.State == Ready {
+			ready++
+			if len(s.held) > 0 {
+				seen++
+			}
+		}
+	}
+	c.seesFleet = float64(seen) > ownView*float64(ready)
 	for _, r := range c.racks {
 		c.regulateUplink(r)
 	}
@@ -796,13 +813,17 @@
 		own := s.asked / s.capacity
 		if full > overFull {
 			c.stepDown(s.held, (full-fillTarget)*own/full*s.capacity, nil)
-			s.others *= fillTarget / full
+			if !c.informed(s) {
+				s.others *= fillTarget / full
+			}
 			c.meanKnown = false
 		} else if c.now-s.shortAt > stepEvery && full < riseTarget {
 			mine := (riseTarget - full) * s.capacity * upPart * own / max(full, 1e-9)
 			taken := c.stepUp(s, min(mine, c.racks[s.rack].allowance))
 			c.racks[s.rack].allowance -= taken
-			s.others += taken / s.capacity * max(full-own, 0) / max(own, 1e-9)
+			if !c.informed(s) {
+				s.others += taken / s.capacity * max(full-own, 0) / max(own, 1e-9)
+			}
 			c.meanKnown = false
 		}
 	}
--- a/control/message.go
+++ b/control/message.go
@@ -206,7 +206,7 @@
 // news takes at the keeper what another front did at a server, and what it heard of its load.
 func (c *Controller) news(s *server, a about) {
 	kb := float64(a.rate) * c.rateUnit()
-	s.peerRate += kb
+	s.peerRate, s.newsAt = s.peerRate+kb, c.now
 	s.peerHistory = record(s.peerHistory, c.now, s.peerRate, keepHistory)
 	s.others = max(s.others+kb/s.capacity, 0)
 	c.meanKnown = false
@@ -244,7 +244,7 @@
 		s.newFull = nil
 		a.rate = int(math.Round((s.asked - s.toldRate) / c.rateUnit()))
 		a.places = len(s.held) - s.toldStreams
-		if !c.set.Peers || k == c.set.Position || s.State != Ready || a.rate == 0 && a.places == 0 && a.full < 0 {
+		if !c.set.Peers || c.seesFleet || k == c.set.Position || s.State != Ready || a.rate == 0 && a.places == 0 && a.full < 0 {
 			continue
 		}
 		s.toldRate, s.toldStreams = s.toldRate+float64(a.rate)*c.rateUnit(), len(s.held)
--- a/control/state.go
+++ b/control/state.go
@@ -26,6 +26,7 @@
 	noted    time.Duration
 
 	waiting    []*session      // for answers of keepers
+	seesFleet  bool            // own sessions at most servers
 	unanswered int             // questions in a row that no keeper answered
 	stamp      int             // of the last message sent
 	stamps     map[int]int     // of the last message taken from each front
@@ -140,6 +141,7 @@
 	newFull     *about  // a report that the keeper should hear of
 	peerRate    float64 // kB/s, sum of the changes that other fronts told
 	peerHistory []sample
+	newsAt      time.Duration
 }
 
 type sample struct {
