Newcomers start up to the mean rung of own sessions where the link is under 0.96

Cause: links are kept at 0.88, so newcomers found no room, started at the lowest rung and paid for every switch up. The mean rung that own sessions hold tells what the fleet affords; in overload it is low and little changes.

--- a/control/control.go
+++ b/control/control.go
@@ -20,6 +20,9 @@
 	admitLimit   = 1.0                    // fullness up to which a lowest rung is still let in
 	tieWidth     = 0.10                   // fullness: links this close count as equal: reports are that noisy
 	zoneWeight   = 2.5                    // fullness that crossing zones must gain, by its price
+	fairTarget   = 0.96                   // newcomers fill a link to this, up to the rung that others have
+	fairShare    = 0.4                    // and may take this part of the room
+	fairPart     = 0.8                    // of the mean
 	startShare   = 0.15                   // part of the room left that one newcomer may take
 	swapGain     = 1.5                    // a step up must earn so many times what its step down loses
 	switchGain   = 2.5                    // a step up must earn so many times the price of a switch
@@ -200,8 +203,7 @@
 		if !known && k != c.set.Position && s.State == Ready && s.holds(x.Home, x.Span, c.set.Cells) &&
 			len(x.asking) < mostKeepers && !slices.Contains(x.asking, k) {
 			x.asking = append(x.asking, k)
-			m := message{kind: messageQuestion, stamp: c.nextStamp(), home: x.Home, span: x.Span}
-			c.act(Tell{k, encode(m)})
+			c.say(k, message{kind: messageQuestion, home: x.Home, span: x.Span})
 		}
 	}
 	if len(x.asking) == 0 {
@@ -395,7 +397,9 @@
 	return best
 }
 
-// send starts an attempt at the rung that fits.
+// send starts an attempt at the rung that fits. Up to about the mean rung of the own sessions, a sign of
+// what the fleet affords, a newcomer may fill the link more: else it starts low and pays for switches.
+// Harm: where a crowd comes, links run short until the next note.
 func (c *Controller) send(x *session, s *server) {
 	if x.attempts > 0 && c.set.BudgetSpan > 0 {
 		c.further = append(c.further, c.now) // mayResend dropped the old ones
@@ -413,8 +417,13 @@
 	}
 	for x.rung < top {
 		step := c.rate(x, x.rung+1) - c.rate(x, x.rung)
-		link, uplink := c.rooms(s, riseTarget)
-		room := min(link*startShare, uplink*max(startShare/4, 1/float64(c.set.Fronts)))
+		upTo, part := riseTarget, startShare
+		if c.set.Ladder[x.rung+1] <= fairPart*c.fair {
+			upTo, part = fairTarget, fairShare
+		}
+		link, _ := c.rooms(s, upTo)
+		_, uplink := c.rooms(s, riseTarget) // shared by many servers: more newcomers at once
+		room := min(link*part, uplink*max(part/4, 1/float64(c.set.Fronts)))
 		if step > room && !c.swap(x, s, step-max(room, 0)) {
 			break
 		}
@@ -788,16 +797,8 @@
 // corrects its own share of what is over or free, once for each report, and then believes that the
 // others did likewise until the next one tells.
 func (c *Controller) regulate() {
-	ready, seen := 0, 0
-	for _, s := range c.order {
-		if s.State == Ready {
-			ready++
-			if len(s.held) > 0 {
-				seen++
-			}
-		}
-	}
-	c.seesFleet = float64(seen) > ownView*float64(ready)
+	view, rung := c.ownSessions()
+	c.seesFleet, c.fair = view > ownView, rung
 	for _, r := range c.racks {
 		c.regulateUplink(r)
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -840,3 +840,18 @@
 		t.Error("message where none is allowed")
 	}
 }
+
+// Up to the mean rung that the own sessions hold, a newcomer may fill a link beyond the mark for steps up.
+func TestNewcomersStartAtTheMeanRung(t *testing.T) {
+	for _, tt := range []struct{ held, want int }{{2, 1}, {0, 0}} {
+		f := start(t, settings())
+		f.step(Request{ID: "old", Best: 2, Playing: true, Server: "s5", Home: 5, Span: 1}, Note{ID: "old", Server: "s5", Kind: NoteRung,
+			Value: float64(tt.held)})
+		f.step(TimerFired{"beat"})
+		f.link(.7, .7, .7, .7, .7, .7)
+		out := f.step(Request{ID: "new", Best: 2, Home: 0, Span: 1, Due: f.now + 4*time.Second})
+		if r, _ := find[SetRung](out); r.Rung != tt.want {
+			t.Errorf("own session at rung %d: a newcomer at 0.7 full starts at %d, want %d", tt.held, r.Rung, tt.want)
+		}
+	}
+}
--- a/control/message.go
+++ b/control/message.go
@@ -163,7 +163,7 @@
 	}
 	switch m.kind {
 	case messageQuestion:
-		c.act(Tell{e.From, encode(message{kind: messageAnswer, stamp: c.nextStamp(), about: c.knowledge(m)})})
+		c.say(e.From, message{kind: messageAnswer, about: c.knowledge(m)})
 	case messageAnswer:
 		c.unanswered = 0
 		for _, a := range m.about {
@@ -248,7 +248,7 @@
 			continue
 		}
 		s.toldRate, s.toldStreams = s.toldRate+float64(a.rate)*c.rateUnit(), len(s.held)
-		c.act(Tell{k, encode(message{kind: messageNews, stamp: c.nextStamp(), about: []about{a}})})
+		c.say(k, message{kind: messageNews, about: []about{a}})
 	}
 	c.touched = c.touched[:0]
 }
@@ -259,3 +259,9 @@
 	s.newFull = &about{mark: markOf(s.ID), full: full, streams: streams, late: late}
 	c.touch(s)
 }
+
+// say sends a message with the next stamp.
+func (c *Controller) say(to int, m message) {
+	m.stamp = c.nextStamp()
+	c.act(Tell{to, encode(m)})
+}
--- a/control/state.go
+++ b/control/state.go
@@ -26,6 +26,7 @@
 	noted    time.Duration
 
 	waiting    []*session      // for answers of keepers
+	fair       float64         // kB/s, mean rung of own playing sessions
 	seesFleet  bool            // own sessions at most servers
 	unanswered int             // questions in a row that no keeper answered
 	stamp      int             // of the last message sent
@@ -458,3 +459,23 @@
 		r.prior = prior
 	}
 }
+
+// ownSessions tells at what part of the ready servers the front has sessions, and their mean rung in kB/s.
+func (c *Controller) ownSessions() (view, rung float64) {
+	ready, seen, playing := 0, 0, 0
+	for _, s := range c.order {
+		if s.State != Ready {
+			continue
+		}
+		ready++
+		if len(s.held) > 0 {
+			seen++
+		}
+		for _, x := range s.held {
+			if x.playing {
+				rung, playing = rung+c.set.Ladder[x.rung], playing+1
+			}
+		}
+	}
+	return float64(seen) / float64(max(ready, 1)), rung / float64(max(playing, 1))
+}
