--- a/control/control.go
+++ b/control/control.go
@@ -20,7 +20,7 @@
 	admitLimit   = 1.0                    // fullness up to which a lowest rung is still let in
 	tieWidth     = 0.10                   // fullness: links this close count as equal: reports are that noisy
 	zoneWeight   = 2.5                    // fullness that crossing zones must gain, by its price
-	fairTarget   = 0.96                   // newcomers fill a link to this, up to the rung that others have
+	fairTarget   = 0.98                   // newcomers fill a link to this, up to the rung that others have
 	fairShare    = 0.4                    // and may take this part of the room
 	fairPart     = 0.8                    // of the mean
 	startShare   = 0.15                   // part of the room left that one newcomer may take
