--- a/control/control.go
+++ b/control/control.go
@@ -176,10 +176,9 @@
 			x.worth *= c.set.Over
 		}
 	}
-	if c.ask(x) {
-		return
+	if !c.ask(x) {
+		c.place(x)
 	}
-	c.place(x)
 	if c.set.Reports == ReportsByProbe && c.set.Probes {
 		c.probe(x)
 	}
@@ -192,7 +191,7 @@
 }
 
 // ask puts a question to the keepers of a title's holders; the choice waits for them a moment. Where
-// questions go unanswered it does not wait: the answers, if any, serve later requests.
+// questions go unanswered, or the viewer is about to give up, it does not wait: answers serve later requests.
 func (c *Controller) ask(x *session) bool {
 	if !c.set.Peers || c.seesFleet {
 		return false
@@ -209,7 +208,7 @@
 	if len(x.asking) == 0 {
 		return false
 	}
-	if c.unanswered >= giveUpAsking {
+	if c.unanswered >= giveUpAsking || x.Due > 0 && x.Due-c.now < 2*answerWait {
 		x.asking = nil
 		return false
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -834,6 +834,15 @@
 	if asker.sent(asker.ask("c", 0)) == "" {
 		t.Error("waits for keepers that are silent")
 	}
+	asker.c.unanswered = 0
+	if out := asker.step(Request{ID: "late", Span: 6, Best: 2, Due: asker.now + 50*ms}); asker.sent(out) == "" {
+		t.Error("a viewer about to give up is made to wait for keepers")
+	}
+	asker.ask("gone", 0)
+	asker.step(Left{"gone"})
+	if out := asker.step(TimerFired{"look gone"}); len(out) > 0 {
+		t.Errorf("acts for a viewer that left while a keeper was asked: %v", out)
+	}
 	set.Peers = false
 	quiet := start(t, set)
 	if _, told := find[Tell](quiet.ask("a", 0)); told {
@@ -855,3 +864,21 @@
 		}
 	}
 }
+
+// Random messages neither panic nor place anything.
+func FuzzPeerMessage(f *testing.F) {
+	f.Add(1, "q00000a05")
+	f.Add(0, "n0010abV3Wg0")
+	f.Add(2, "a000")
+	f.Fuzz(func(t *testing.T, from int, data string) {
+		set := settings()
+		set.Peers, set.Fronts = true, 3
+		c, _ := New(set, 1)
+		c.Step(time.Second, []Event{ListUpdate{Whole: true, Servers: []Server{{ID: "s0", State: Ready, Weight: 1}}}})
+		for _, a := range c.Step(2*time.Second, []Event{PeerMessage{From: from, Data: data}}) {
+			if _, ok := a.(Tell); !ok {
+				t.Errorf("message %q from %d led to %+v", data, from, a)
+			}
+		}
+	})
+}
