Tidier messages: one table of digits, no names worked out where nothing is told

decode had the digits a second time as a switch; tell hashed every touched server's name and filled a message even where messages are forbidden, and a report carried a name that was worked out again.

--- a/control/message.go
+++ b/control/message.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"math"
 	"slices"
+	"strings"
 )
 
 // Messages between fronts are short texts of base-64 digits: a kind that also tells the version, the
@@ -90,20 +91,7 @@
 	}
 	var v [256]int
 	for i := 1; i < len(text); i++ {
-		v[i] = -1
-		switch c := text[i]; {
-		case c >= '0' && c <= '9':
-			v[i] = int(c - '0')
-		case c >= 'A' && c <= 'Z':
-			v[i] = int(c-'A') + 10
-		case c >= 'a' && c <= 'z':
-			v[i] = int(c-'a') + 36
-		case c == '-', c == '_':
-			v[i] = 62
-			if c == '_' {
-				v[i] = 63
-			}
-		}
+		v[i] = strings.IndexByte(digits, text[i])
 		if v[i] < 0 {
 			return m, false
 		}
@@ -237,14 +225,18 @@
 	for _, s := range c.touched {
 		s.touched = false
 		k := c.keeper(s.Cell)
-		a := about{mark: markOf(s.ID), full: -1, streams: -1}
+		if !c.set.Peers || c.seesFleet || k == c.set.Position || s.State != Ready {
+			s.newFull = nil
+			continue
+		}
+		a := about{full: -1, streams: -1}
 		if s.newFull != nil {
-			a = *s.newFull
+			a, s.newFull = *s.newFull, nil
 		}
-		s.newFull = nil
+		a.mark = markOf(s.ID)
 		a.rate = int(math.Round((s.asked - s.toldRate) / c.rateUnit()))
 		a.places = len(s.held) - s.toldStreams
-		if !c.set.Peers || c.seesFleet || k == c.set.Position || s.State != Ready || a.rate == 0 && a.places == 0 && a.full < 0 {
+		if a.rate == 0 && a.places == 0 && a.full < 0 {
 			continue
 		}
 		s.toldRate, s.toldStreams = s.toldRate+float64(a.rate)*c.rateUnit(), len(s.held)
@@ -253,10 +245,9 @@
 	c.touched = c.touched[:0]
 }
 
-// shareReport has the keeper told of a link report. Of the fronts that all hear the same note a few
-// speak, by their part of the load.
+// shareReport has the keeper told of a link report at the end of the step.
 func (c *Controller) shareReport(s *server, full float64, streams int, late bool) {
-	s.newFull = &about{mark: markOf(s.ID), full: full, streams: streams, late: late}
+	s.newFull = &about{full: full, streams: streams, late: late}
 	c.touch(s)
 }
 
