--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,78 @@
+package config
+
+import (
+	"rainpulley/control"
+)
+
+// Settings are what the module of one edge is told.
+func (s *Site) Settings(position int) control.Settings {
+	out := control.Settings{
+		Position: position, Fronts: max(len(s.Edges), 1), Cells: s.Cells, Racks: s.Racks,
+		WeightLink: float64(s.Links.PerWeight), RackUplink: float64(s.Links.Uplink), FullFrom: s.Links.FullFrom,
+		Weights: control.WeightSize, NoteDelay: s.Notes.Delay.D(), LinkNoteEvery: s.Notes.LinkEvery.D(),
+		SwitchCost: s.Notes.SwitchCost.D(), Probes: s.Attempts.Probes, Peers: s.Peers && len(s.Edges) > 1,
+		Cancel: s.Attempts.Cancel, RetryAfter: s.RetryAfter > 0, MaxAttempts: s.Attempts.Most,
+		MaxRetryAfter: s.RetryAfter.D(), MovePrice: s.Prices.Move, ZonePrice: s.Prices.Zone, ProbePrice: s.Prices.Probe,
+		DrainGrace: s.Rules.DrainGrace.D(), Ramp: s.Rules.Ramp.D(), StartShare: s.Rules.StartShare,
+		FallFactor: s.Rules.FallFactor, FallSpan: s.Rules.FallSpan.D(),
+		BudgetSpan: s.Rules.BudgetSpan.D(), BudgetFree: s.Rules.BudgetFree, BudgetShare: s.Rules.BudgetShare,
+		JoinAdds: 1,
+	}
+	if position < len(s.Edges) {
+		out.Zone = index(s.Zones, s.Edges[position].Zone)
+	}
+	for _, r := range s.Ladder {
+		out.Ladder, out.RungWorth = append(out.Ladder, float64(r.Rate)), append(out.RungWorth, r.Worth)
+	}
+	for _, k := range s.Kinds {
+		out.KindStreams = append(out.KindStreams, k.Streams)
+	}
+	for _, b := range s.Boxes {
+		out.LinksTotal += b.Weight * float64(s.Links.PerWeight)
+	}
+	switch s.Notes.Reports {
+	case "answers":
+		out.Reports = control.ReportsInAnswers
+	case "probes":
+		out.Reports = control.ReportsByProbe
+	}
+	for _, k := range s.Classes {
+		out.Classes = append(out.Classes, k.class(len(s.Ladder)-1))
+	}
+	return out
+}
+
+func (k Class) class(top int) control.Class {
+	c := control.Class{Name: k.Name, Window: k.Window.D(), Aim: k.Aim.D(), Deadline: k.Deadline.D(),
+		Worth: k.Worth, RateFactor: k.RateFactor, Floor: k.Floor, Top: top, Seats: k.Seats, Live: k.Live}
+	if k.Top != nil {
+		c.Top = *k.Top
+	}
+	switch k.Effect {
+	case "paid":
+		c.Effect = control.AtMostOnce
+	case "keyed":
+		c.Effect = control.Deduplicated
+	}
+	switch k.Scope {
+	case "zone":
+		c.Scope = control.ScopeZone
+	case "cell":
+		c.Scope = control.ScopeCell
+	}
+	return c
+}
+
+// Class is the number of a class by its name, or -1.
+func (s *Site) Class(name string) int {
+	for i := range s.Classes {
+		if s.Classes[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Zone and Kind are the numbers of a zone and a kind by their names, or -1.
+func (s *Site) Zone(name string) int { return index(s.Zones, name) }
+func (s *Site) Kind(name string) int { return index(s.kinds(), name) }
--- /dev/null
+++ b/internal/http1/server.go
@@ -0,0 +1,399 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Request is one request; its parts are valid until the next one of the connection is read.
+type Request struct {
+	message
+	Method, Path, Query []byte
+	Body                []byte
+	minor               int
+}
+
+func (q *Request) parseStart() error {
+	line := q.start()
+	first, last := bytes.IndexByte(line, ' '), bytes.LastIndexByte(line, ' ')
+	if first <= 0 || last <= first+1 || !allTokens(line[:first]) {
+		return bad("request line has not three parts")
+	}
+	target, version := line[first+1:last], line[last+1:]
+	for _, c := range target {
+		if c <= ' ' || c >= 0x7f {
+			return bad("request target holds a character that is not allowed")
+		}
+	}
+	switch string(version) {
+	case "HTTP/1.1":
+		q.minor = 1
+	case "HTTP/1.0":
+		q.minor = 0
+	default:
+		if !bytes.HasPrefix(version, []byte("HTTP/")) {
+			return bad("request line has no version")
+		}
+		return &Error{505, "HTTP version not known"}
+	}
+	if target[0] != '/' {
+		return bad("request target is no path")
+	}
+	q.Method, q.Path, q.Query = line[:first], target, nil
+	if i := bytes.IndexByte(target, '?'); i >= 0 {
+		q.Path, q.Query = target[:i], target[i+1:]
+	}
+	return nil
+}
+
+// read takes the next request off the connection.
+func (q *Request) read(r *bufio.Reader, l Limits) error {
+	if err := q.readHead(r, l); err != nil {
+		return err
+	}
+	if err := q.parseStart(); err != nil {
+		return err
+	}
+	if q.minor == 0 {
+		q.Close = true
+		if q.chunked {
+			return bad("chunked body in HTTP/1.0")
+		}
+	} else if hosts := q.count("host"); hosts != 1 {
+		return bad("%d host headers", hosts) // RFC 9112, 3.2
+	}
+	if q.length < 0 {
+		q.length = 0
+	}
+	return nil
+}
+
+func (q *Request) count(name string) (n int) {
+	for _, h := range q.Headers {
+		if equalFold(h.Name, name) {
+			n++
+		}
+	}
+	return n
+}
+
+// Param is the raw value of a query parameter, nil if it is not there.
+func (q *Request) Param(name string) []byte {
+	rest := q.Query
+	for len(rest) > 0 {
+		part := rest
+		if i := bytes.IndexByte(rest, '&'); i >= 0 {
+			part, rest = rest[:i], rest[i+1:]
+		} else {
+			rest = nil
+		}
+		if len(part) > len(name) && part[len(name)] == '=' && string(part[:len(name)]) == name {
+			return part[len(name)+1:]
+		}
+	}
+	return nil
+}
+
+// Exchange is one request with the answer that is being made for it.
+type Exchange struct {
+	Request
+	conn   net.Conn
+	r      *bufio.Reader
+	head   []byte
+	status int
+	Out    []byte // the answer's body
+	peek   chan struct{}
+}
+
+// Remote is the peer's address.
+func (x *Exchange) Remote() string { return x.conn.RemoteAddr().String() }
+
+// Status begins the answer; header lines follow by Header. The body goes into Out.
+func (x *Exchange) Status(code int) {
+	x.status, x.head, x.Out = code, x.head[:0], x.Out[:0]
+}
+
+// Header adds a header line. Neither part may hold a line break; the caller's own words only.
+func (x *Exchange) Header(name, value string) {
+	x.head = append(x.head, name...)
+	x.head = append(x.head, ": "...)
+	x.head = append(x.head, value...)
+	x.head = append(x.head, "\r\n"...)
+}
+
+// Watch reports by closing gone when the peer hangs up while its request is being answered.
+// stop must be called before the handler returns.
+func (x *Exchange) Watch() (gone <-chan struct{}, stop func()) {
+	left, over := make(chan struct{}), make(chan struct{})
+	_ = x.conn.SetReadDeadline(time.Time{})
+	go func() {
+		defer close(over)
+		if _, err := x.r.Peek(1); err != nil {
+			var late net.Error
+			if !errors.As(err, &late) || !late.Timeout() {
+				close(left)
+			}
+		}
+	}()
+	return left, func() {
+		_ = x.conn.SetReadDeadline(time.Unix(1, 0))
+		<-over
+		_ = x.conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// statusText names the codes in use.
+func statusText(code int) string {
+	switch code {
+	case 200:
+		return "OK"
+	case 201:
+		return "Created"
+	case 204:
+		return "No Content"
+	case 400:
+		return "Bad Request"
+	case 404:
+		return "Not Found"
+	case 405:
+		return "Method Not Allowed"
+	case 408:
+		return "Request Timeout"
+	case 410:
+		return "Gone"
+	case 413:
+		return "Content Too Large"
+	case 414:
+		return "URI Too Long"
+	case 431:
+		return "Request Header Fields Too Large"
+	case 500:
+		return "Internal Server Error"
+	case 501:
+		return "Not Implemented"
+	case 502:
+		return "Bad Gateway"
+	case 503:
+		return "Service Unavailable"
+	case 504:
+		return "Gateway Timeout"
+	case 505:
+		return "HTTP Version Not Supported"
+	}
+	return "Status"
+}
+
+func appendAnswer(dst []byte, code int, head, body []byte, end, bodyless bool) []byte {
+	dst = append(dst, "HTTP/1.1 "...)
+	dst = strconv.AppendInt(dst, int64(code), 10)
+	dst = append(dst, ' ')
+	dst = append(dst, statusText(code)...)
+	dst = append(dst, "\r\n"...)
+	dst = append(dst, head...)
+	if end {
+		dst = append(dst, "Connection: close\r\n"...)
+	}
+	dst = append(dst, "Content-Length: "...)
+	dst = strconv.AppendInt(dst, int64(len(body)), 10)
+	dst = append(dst, "\r\n\r\n"...)
+	if bodyless {
+		return dst
+	}
+	return append(dst, body...)
+}
+
+// Handler answers one request: Status first, then headers and body.
+type Handler func(ctx context.Context, x *Exchange)
+
+// Server serves connections, one goroutine for each. Requests of one connection are answered in
+// order, pipelined ones too.
+type Server struct {
+	Handle Handler
+	Limits Limits
+	Conns  int // at most at once; more are closed at once
+	Log    *slog.Logger
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool // true while a request is being answered
+	done  bool
+	wg    sync.WaitGroup
+}
+
+// Serve accepts until ctx ends, then lets requests under way finish, for grace at most.
+func (s *Server) Serve(ctx context.Context, ln net.Listener, grace time.Duration) error {
+	s.conns = map[net.Conn]bool{}
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	var err error
+	for {
+		var c net.Conn
+		if c, err = ln.Accept(); err != nil {
+			break
+		}
+		if !s.add(c) {
+			_ = c.Close()
+		}
+	}
+	_ = ln.Close()
+	s.drain(grace)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) add(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.done || s.Conns > 0 && len(s.conns) >= s.Conns {
+		return false
+	}
+	s.conns[c] = false
+	s.wg.Add(1)
+	go s.serve(c)
+	return true
+}
+
+func (s *Server) drain(grace time.Duration) {
+	s.mu.Lock()
+	s.done = true
+	for c, busy := range s.conns {
+		if !busy {
+			_ = c.Close()
+		}
+	}
+	s.mu.Unlock()
+	over := make(chan struct{})
+	go func() { s.wg.Wait(); close(over) }()
+	t := time.NewTimer(grace)
+	defer t.Stop()
+	select {
+	case <-over:
+		return
+	case <-t.C:
+	}
+	s.mu.Lock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	<-over
+}
+
+// busy marks a connection; false means that the server ends and the connection with it.
+func (s *Server) busy(c net.Conn, b bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = b
+	return !s.done || b
+}
+
+func (s *Server) serve(c net.Conn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer func() {
+		cancel()
+		_ = c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		s.wg.Done()
+	}()
+	x := &Exchange{conn: c, r: bufio.NewReaderSize(c, s.Limits.Line)}
+	var out []byte
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(s.Limits.IdleFor))
+		if _, err := x.r.Peek(1); err != nil {
+			return
+		}
+		if !s.busy(c, true) {
+			return
+		}
+		_ = c.SetReadDeadline(time.Now().Add(s.Limits.HeadFor))
+		err := x.read(x.r, s.Limits)
+		if err == nil {
+			err = s.body(x)
+		}
+		if err != nil {
+			s.refuse(c, x, err)
+			return
+		}
+		s.answer(ctx, x)
+		s.mu.Lock()
+		end := x.Close || s.done
+		s.mu.Unlock()
+		out = appendAnswer(out[:0], x.status, x.head, x.Out, end, string(x.Method) == "HEAD")
+		_ = c.SetWriteDeadline(time.Now().Add(s.Limits.SendFor))
+		if _, err := c.Write(out); err != nil || end {
+			return
+		}
+		if !s.busy(c, false) {
+			return
+		}
+	}
+}
+
+// answer calls the handler; one that panics costs its own request only.
+func (s *Server) answer(ctx context.Context, x *Exchange) {
+	x.status = 0
+	defer func() {
+		if p := recover(); p != nil {
+			s.Log.Error("handler broke", "panic", p, "path", string(x.Path))
+			x.status = 0
+		}
+		if x.status == 0 {
+			x.Status(500)
+			x.Close = true
+		}
+	}()
+	s.Handle(ctx, x)
+}
+
+func (s *Server) body(x *Exchange) (err error) {
+	x.Body = x.Body[:0]
+	if !x.chunked && x.length == 0 {
+		return nil
+	}
+	if e := x.Get("expect"); e != nil {
+		if _, err := x.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return err
+		}
+	}
+	_ = x.conn.SetReadDeadline(time.Now().Add(s.Limits.BodyFor))
+	x.Body, err = x.readBody(x.Body, x.r, s.Limits)
+	return err
+}
+
+// refuse answers a message that cannot be read, and the connection ends: what follows on it can
+// no longer be told apart.
+func (s *Server) refuse(c net.Conn, x *Exchange, err error) {
+	var e *Error
+	var late net.Error
+	switch {
+	case errors.As(err, &e):
+	case errors.As(err, &late) && late.Timeout():
+		e = &Error{408, "message came too slowly"}
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		e = &Error{400, "message was cut off"}
+	default:
+		return
+	}
+	s.Log.Warn("request refused", "remote", c.RemoteAddr().String(), "status", e.Status, "reason", e.Reason)
+	_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+	body := append([]byte(e.Reason), '\n')
+	if _, err := c.Write(appendAnswer(nil, e.Status, []byte("Content-Type: text/plain\r\n"), body, true, false)); err != nil {
+		return
+	}
+	if t, ok := c.(*net.TCPConn); ok { // let the answer out before unread input resets the connection
+		_ = t.CloseWrite()
+		_ = c.SetReadDeadline(time.Now().Add(250 * time.Millisecond))
+		_, _ = io.CopyN(io.Discard, c, 64<<10)
+	}
+}
--- /dev/null
+++ b/internal/join/join.go
@@ -0,0 +1,100 @@
+// Package join decides what a viewer's request joins: the session that it has, one that is being set
+// up, or a new try. It is what keeps a viewer that knocks twice from being set up twice. It does no I/O
+// and knows no protocol.
+package join
+
+import "time"
+
+// State of the session that a viewer has at this edge.
+type State int
+
+// States of a session.
+const (
+	None     State = iota // never seen, or forgotten
+	Pending               // asked for, no answer yet
+	Playing               // set up
+	Lost                  // its server was lost, or it was moved; the viewer may come again
+	Over                  // played to its end, or the viewer left
+	Answered              // refused or failed
+)
+
+// Session is what is known of the viewer's session of this title and class.
+type Session struct {
+	State State
+	Moved bool // with Lost: taken off its server by this edge
+	Since time.Duration
+}
+
+// Kind of a request.
+type Kind int
+
+// Kinds of requests.
+const (
+	Play   Kind = iota // for the session as a whole
+	Reload             // for more of one that the viewer thinks it has
+)
+
+// Verdict is what becomes of a request.
+type Verdict int
+
+// Verdicts.
+const (
+	Serve  Verdict = iota // from the session as it stands
+	Wait                  // for the answer that the session is owed
+	Try                   // a new try, with the marks below
+	Absent                // there is nothing to reload: the viewer begins anew
+)
+
+// Decision is a verdict with the marks of the try.
+type Decision struct {
+	Verdict  Verdict
+	Repeat   bool // the viewer asked before
+	Returned bool // it comes again after a break or a refusal
+	Moved    bool // it comes back after being moved
+}
+
+// remember is how long an ended session still marks the next try of its viewer as a return.
+const remember = time.Minute
+
+// Decide settles one request. A reload never starts a session that ended in order: its viewer saw the
+// end. It does bring back one whose server was lost, and one that another edge had.
+func Decide(s Session, k Kind, now time.Duration, elsewhere bool) Decision {
+	recent := now-s.Since < remember
+	switch s.State {
+	case Pending:
+		return Decision{Verdict: Wait, Repeat: true}
+	case Playing:
+		return Decision{Verdict: Serve, Repeat: true}
+	case Lost:
+		return Decision{Verdict: Try, Repeat: true, Returned: true, Moved: s.Moved}
+	case Answered:
+		return Decision{Verdict: Try, Repeat: recent, Returned: recent}
+	case Over:
+		if k == Reload {
+			return Decision{Verdict: Absent}
+		}
+		return Decision{Verdict: Try}
+	}
+	if k == Reload {
+		if elsewhere {
+			return Decision{Verdict: Try, Repeat: true, Returned: true}
+		}
+		return Decision{Verdict: Absent}
+	}
+	return Decision{Verdict: Try}
+}
+
+// Overload is what an edge can still take.
+type Overload struct {
+	Queued, Queue     int // requests waiting for the decision
+	Sessions, Allowed int
+}
+
+// Advice settles whether a request is turned away before it is taken, and for how long: the fuller
+// the queue, the longer, so that viewers do not come back together.
+func Advice(o Overload, jitter float64) (turnAway bool, after time.Duration) {
+	if o.Queued < o.Queue && o.Sessions < o.Allowed {
+		return false, 0
+	}
+	return true, time.Second + time.Duration(jitter*float64(2*time.Second))
+}
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,168 @@
+// Package view is the fleet as the planner publishes it and edges follow it: boxes and titles under a
+// version that only rises. A stream of lines carries whole views and changes; a gap or a line that does
+// not fit is an error, after which the follower asks for the whole view again.
+package view
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// State of a box.
+type State string
+
+// States of a box.
+const (
+	Ready    State = "ready"
+	Draining State = "draining"
+	Gone     State = "gone"
+)
+
+// Box is one streaming server. Zone and kind are names; its rack follows from its cell.
+type Box struct {
+	ID      string  `json:"id"` // host:port
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	Rack    int     `json:"rack"`
+	State   State   `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms,omitempty"` // Unix milliseconds; 0: long ago or not known
+}
+
+// Title is what can be played and where it lies.
+type Title struct {
+	Name   string `json:"name"`
+	Home   int    `json:"home"`
+	Span   int    `json:"span"`
+	Length int64  `json:"length_ms,omitempty"` // 0: not known
+}
+
+// View is the fleet at one version.
+type View struct {
+	Version uint64  `json:"version"`
+	Boxes   []Box   `json:"boxes"`
+	Titles  []Title `json:"titles"`
+}
+
+// Line is one line of the stream: a whole view, changes to the version before, or a heartbeat
+// (neither, with the version in force).
+type Line struct {
+	Version uint64   `json:"v"`
+	Base    uint64   `json:"base,omitempty"` // the version that changes apply to
+	Whole   bool     `json:"whole,omitempty"`
+	Boxes   []Box    `json:"boxes,omitempty"`
+	Titles  []Title  `json:"titles,omitempty"`
+	Removed []string `json:"removed_titles,omitempty"`
+}
+
+// ErrGap says that changes do not follow on what is held; the whole view must be read.
+var ErrGap = errors.New("view: gap in versions")
+
+// Decode reads a line and checks it; a line that makes no sense changes nothing.
+func Decode(b []byte) (Line, error) {
+	var l Line
+	d := json.NewDecoder(strings.NewReader(string(b)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&l); err != nil {
+		return l, fmt.Errorf("view: line: %w", err)
+	}
+	if !l.Whole && l.Base == 0 && len(l.Boxes)+len(l.Titles)+len(l.Removed) > 0 {
+		return l, errors.New("view: changes without base")
+	}
+	for _, x := range l.Boxes {
+		if x.ID == "" || x.State != Ready && x.State != Draining && x.State != Gone || x.Cell < 0 {
+			return l, fmt.Errorf("view: box %q: state %q or cell %d makes no sense", x.ID, x.State, x.Cell)
+		}
+	}
+	for _, t := range l.Titles {
+		if t.Name == "" || t.Home < 0 || t.Span < 1 {
+			return l, fmt.Errorf("view: title %q: home %d or span %d makes no sense", t.Name, t.Home, t.Span)
+		}
+	}
+	return l, nil
+}
+
+// Apply returns the view after a line, and whether anything changed. v is not changed.
+func Apply(v View, l Line) (View, bool, error) {
+	if l.Whole {
+		return View{l.Version, l.Boxes, l.Titles}, true, nil
+	}
+	if l.Base == 0 { // heartbeat
+		if l.Version != v.Version {
+			return v, false, ErrGap
+		}
+		return v, false, nil
+	}
+	if l.Base != v.Version || l.Version <= l.Base {
+		return v, false, ErrGap
+	}
+	out := View{Version: l.Version, Boxes: slices.Clone(v.Boxes), Titles: slices.Clone(v.Titles)}
+	for _, b := range l.Boxes {
+		i := slices.IndexFunc(out.Boxes, func(o Box) bool { return o.ID == b.ID })
+		switch {
+		case b.State == Gone && i >= 0:
+			out.Boxes = slices.Delete(out.Boxes, i, i+1)
+		case b.State == Gone:
+		case i >= 0:
+			out.Boxes[i] = b
+		default:
+			out.Boxes = append(out.Boxes, b)
+		}
+	}
+	out.Titles = slices.DeleteFunc(out.Titles, func(t Title) bool { return slices.Contains(l.Removed, t.Name) })
+	for _, t := range l.Titles {
+		if i := slices.IndexFunc(out.Titles, func(o Title) bool { return o.Name == t.Name }); i >= 0 {
+			out.Titles[i] = t
+		} else {
+			out.Titles = append(out.Titles, t)
+		}
+	}
+	out.sort()
+	return out, true, nil
+}
+
+func (v *View) sort() {
+	slices.SortFunc(v.Boxes, func(a, b Box) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(v.Titles, func(a, b Title) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// Diff is the line that leads from one view to a later one.
+func Diff(from, to View) Line {
+	l := Line{Version: to.Version, Base: from.Version}
+	old := map[string]Box{}
+	for _, b := range from.Boxes {
+		old[b.ID] = b
+	}
+	for _, b := range to.Boxes {
+		if o, ok := old[b.ID]; !ok || o != b {
+			l.Boxes = append(l.Boxes, b)
+		}
+		delete(old, b.ID)
+	}
+	for _, b := range from.Boxes {
+		if _, left := old[b.ID]; left {
+			b.State = Gone
+			l.Boxes = append(l.Boxes, b)
+		}
+	}
+	titles := map[string]Title{}
+	for _, t := range from.Titles {
+		titles[t.Name] = t
+	}
+	for _, t := range to.Titles {
+		if o, ok := titles[t.Name]; !ok || o != t {
+			l.Titles = append(l.Titles, t)
+		}
+		delete(titles, t.Name)
+	}
+	for _, t := range from.Titles {
+		if _, left := titles[t.Name]; left {
+			l.Removed = append(l.Removed, t.Name)
+		}
+	}
+	return l
+}
