--- /dev/null
+++ b/cmd/rainpulley-planner/main.go
@@ -0,0 +1,14 @@
+// Command rainpulley-planner watches the fleet and publishes the view that edges follow.
+package main
+
+import (
+	"github.com/alecthomas/kong"
+
+	"rainpulley/internal/cli"
+)
+
+func main() {
+	var c cli.Planner
+	k := kong.Parse(&c, kong.Name("rainpulley-planner"), kong.Description("Watches the fleet and publishes its view."))
+	k.FatalIfErrorf(c.Run())
+}
--- /dev/null
+++ b/cmd/rainpulley/main.go
@@ -0,0 +1,273 @@
+// Command rainpulley is the operators' tool: demos, audits, checks of configuration and stand-ins.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"rainpulley/internal/audit"
+	"rainpulley/internal/cli"
+	"rainpulley/internal/config"
+	"rainpulley/internal/scenario"
+	"rainpulley/internal/standin"
+)
+
+type tool struct {
+	Demo    demo        `cmd:"" help:"Start a whole fleet on free loopback ports and play a scripted day."`
+	Replay  replay      `cmd:"" help:"Play a script file, at its own pace or compressed."`
+	Audit   auditCmd    `cmd:"" help:"Judge a recorded run by the six rules."`
+	Config  configCmd   `cmd:"" help:"Configuration."`
+	Standin standinCmd  `cmd:"" help:"Run the stand-in boxes of a site."`
+	Edge    cli.Edge    `cmd:"" help:"Run an edge, as rainpulley-edge does."`
+	Planner cli.Planner `cmd:"" help:"Run a planner, as rainpulley-planner does."`
+}
+
+func main() {
+	var t tool
+	k := kong.Parse(&t, kong.Name("rainpulley"), kong.Description("Session front for HLS: the operators' tool."), kong.UsageOnError())
+	k.FatalIfErrorf(k.Run())
+}
+
+type configCmd struct {
+	Check struct {
+		cli.SiteFile
+	} `cmd:"" help:"Read a site file and say what is wrong with it."`
+}
+
+// Run checks.
+func (c *configCmd) Run() error {
+	s, err := c.Check.Load()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: %d boxes, %d edges, %d titles, %d classes: no fault found\n", c.Check.Site, len(s.Boxes), len(s.Edges), len(s.Titles), len(s.Classes))
+	return nil
+}
+
+type auditCmd struct {
+	Site    string `arg:"" help:"Site file of the run." type:"existingfile"`
+	Entries string `arg:"" help:"What passed on the sockets, as 'demo --keep' writes it." type:"existingfile"`
+}
+
+// Run judges; the exit code tells.
+func (c *auditCmd) Run() error {
+	site, err := config.Load(c.Site, nil)
+	if err != nil {
+		return err
+	}
+	f, err := os.Open(c.Entries)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	entries, err := audit.Read(f)
+	if err != nil {
+		return err
+	}
+	v := audit.Judge(site, entries)
+	if err := json.NewEncoder(os.Stdout).Encode(v); err != nil {
+		return err
+	}
+	if len(v.Breaches) > 0 {
+		return fmt.Errorf("rules broken: %v", v.Broken())
+	}
+	return nil
+}
+
+type standinCmd struct {
+	cli.SiteFile
+	Seed uint64 `help:"Seed of the boxes' links." default:"1"`
+}
+
+// Run serves until a signal comes.
+func (c *standinCmd) Run() error {
+	site, err := c.Load()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	f := standin.NewFleet(site, audit.NewLog(), c.Seed)
+	if err := f.Start(ctx); err != nil {
+		return err
+	}
+	fmt.Printf("%d stand-in boxes serve\n", len(site.Boxes))
+	<-ctx.Done()
+	f.Wait()
+	return nil
+}
+
+// size is what demo and replay share.
+type size struct {
+	Seed     uint64  `help:"Seed of arrivals, faults and modules." default:"1"`
+	Boxes    int     `help:"Stand-in boxes; by default the script's."`
+	Edges    int     `help:"Edges; by default the script's."`
+	Rate     float64 `help:"New sessions a second; by default the script's."`
+	Speed    float64 `help:"The script's clock over the real one." default:"1"`
+	Keep     string  `help:"Folder for site, logs and what passed on the sockets." type:"path"`
+	Baseline bool    `help:"Play the day beside it with a random holder at the lowest rung." default:"true" negatable:""`
+}
+
+type demo struct {
+	size
+	Scenario string `help:"Which day is played." default:"bad-day"`
+	List     bool   `help:"Name the scenarios."`
+	Serve    bool   `help:"Leave it running and print an address to open in a player."`
+}
+
+// Run plays.
+func (c *demo) Run() error {
+	if c.List {
+		for _, n := range scenario.Names() {
+			s, err := scenario.Load(n)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%-14s %s\n", n, s.About)
+		}
+		return nil
+	}
+	s, err := scenario.Load(c.Scenario)
+	if err != nil {
+		return err
+	}
+	return c.play(s, c.Serve)
+}
+
+type replay struct {
+	size
+	Script string `arg:"" help:"Script file, or a scenario's name."`
+}
+
+// Run plays.
+func (c *replay) Run() error {
+	s, err := scenario.Load(c.Script)
+	if err != nil {
+		return err
+	}
+	return c.play(s, false)
+}
+
+func (c *size) play(s *scenario.Script, serve bool) error {
+	if c.Boxes > 0 {
+		s.Boxes = c.Boxes
+	}
+	if c.Edges > 0 {
+		s.Edges = c.Edges
+	}
+	if c.Rate > 0 {
+		s.Rate = c.Rate
+	}
+	if c.Speed <= 0 {
+		return errors.New("--speed must be above 0")
+	}
+	dir := c.Keep
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "rainpulley-"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	policies := []string{"module"}
+	if c.Baseline && !serve {
+		policies = append(policies, "random")
+	}
+	results, errs := make([]*scenario.Result, len(policies)), make([]error, len(policies))
+	var work sync.WaitGroup
+	for i, p := range policies {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			o := scenario.Options{Script: s, Seed: c.Seed, Policy: p, Command: []string{self}, Dir: filepath.Join(dir, p), Speed: c.Speed}
+			results[i], errs[i] = one(ctx, o, serve)
+		}()
+	}
+	over := make(chan struct{})
+	go func() { work.Wait(); close(over) }()
+	progress(over, s, c.Speed, serve)
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	r := results[0]
+	if len(results) > 1 {
+		b := results[1]
+		r.Baseline = &scenario.Short{Policy: b.Policy, Sessions: b.Sessions, Share: b.Share, Delivered: b.Delivered, Asked: b.Asked, Broken: b.Broken}
+	}
+	r.Table(os.Stdout)
+	if r.Baseline != nil {
+		fmt.Printf("beside it, a random holder at the lowest rung: %.3f of worth asked\n", r.Baseline.Share)
+	}
+	line, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s\n", line)
+	if len(r.Broken) > 0 {
+		return fmt.Errorf("rules broken: %v", r.Broken)
+	}
+	return nil
+}
+
+// one plays a day with one policy.
+func one(ctx context.Context, o scenario.Options, serve bool) (*scenario.Result, error) {
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	r, err := scenario.Start(inner, o)
+	if err != nil {
+		if r != nil {
+			r.Stop()
+		}
+		return nil, err
+	}
+	r.Play(ctx)
+	if serve && ctx.Err() == nil {
+		fmt.Fprintf(os.Stderr, "\nserving until interrupted; open in a player: %s\n", r.Address())
+		<-ctx.Done()
+	}
+	r.Stop()
+	res := r.Result()
+	f, err := os.Create(filepath.Join(o.Dir, "entries.jsonl"))
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return res, audit.Write(f, r.Entries())
+}
+
+// progress writes one line on standard error while the day goes on.
+func progress(over <-chan struct{}, s *scenario.Script, speed float64, serve bool) {
+	begin := time.Now()
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	var w io.Writer = os.Stderr
+	for {
+		select {
+		case <-over:
+			fmt.Fprintln(w)
+			return
+		case <-t.C:
+			at := time.Duration(float64(time.Since(begin)) * speed).Round(time.Second)
+			if !serve || at < s.Length.D() {
+				fmt.Fprintf(w, "\r%s: %v of %v and the last viewers ", s.Name, min(at, s.Length.D()), s.Length.D())
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/cli/programs.go
@@ -0,0 +1,107 @@
+// Package cli holds what the programs' command lines share.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"rainpulley/control"
+	"rainpulley/internal/baseline"
+	"rainpulley/internal/config"
+	"rainpulley/internal/core"
+	"rainpulley/internal/edge"
+	"rainpulley/internal/planner"
+)
+
+// Logging is how a program logs: lines of JSON on standard error.
+type Logging struct {
+	LogLevel string `help:"Least level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
+}
+
+// Logger makes the program's logger.
+func (l Logging) Logger(program string) *slog.Logger {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(l.LogLevel)) // the enum holds only valid ones
+	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("program", program)
+}
+
+// SiteFile names the description of the installation.
+type SiteFile struct {
+	Site string            `help:"Jsonnet file that describes the installation." required:"" type:"existingfile"`
+	Var  map[string]string `help:"External variables of the Jsonnet file."`
+}
+
+// Load reads it.
+func (s SiteFile) Load() (*config.Site, error) { return config.Load(s.Site, s.Var) }
+
+// untilSignal ends at SIGTERM or interrupt; a second one ends the process.
+func untilSignal() (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
+
+// Edge runs an edge.
+type Edge struct {
+	SiteFile
+	Logging
+	Position int           `help:"Which of the site's edges this is, from 0." required:""`
+	Planner  string        `help:"Planner's host:port; by default the site's."`
+	State    string        `help:"Folder for the last view; without it a restart begins empty." type:"path"`
+	Grace    time.Duration `help:"At SIGTERM, requests under way may take so long." default:"10s"`
+	Seed     uint64        `help:"Seed of the module; by default the time."`
+	Policy   string        `help:"For comparisons: 'random' in place of the module." hidden:"" default:"module" enum:"module,random"`
+}
+
+// Run serves until a signal comes.
+func (c *Edge) Run() error {
+	site, err := c.Load()
+	if err != nil {
+		return err
+	}
+	if c.State != "" {
+		if err := os.MkdirAll(c.State, 0o755); err != nil {
+			return fmt.Errorf("state folder: %w", err)
+		}
+	}
+	o := edge.Options{Site: site, Position: c.Position, Planner: c.Planner, State: c.State, Grace: c.Grace, Seed: c.Seed,
+		Log: c.Logger("edge").With("edge", c.Position)}
+	if o.Planner == "" {
+		o.Planner = site.Planner.Listen
+	}
+	if o.Seed == 0 {
+		o.Seed = uint64(time.Now().UnixNano())
+	}
+	if c.Policy == "random" {
+		o.Decider = func(s control.Settings, seed uint64) (core.Decider, error) { return baseline.New(s, seed), nil }
+	}
+	e, err := edge.New(o)
+	if err != nil {
+		return err
+	}
+	ctx, stop := untilSignal()
+	defer stop()
+	return e.Run(ctx)
+}
+
+// Planner runs a planner.
+type Planner struct {
+	SiteFile
+	Logging
+}
+
+// Run serves until a signal comes.
+func (c *Planner) Run() error {
+	site, err := c.Load()
+	if err != nil {
+		return err
+	}
+	ctx, stop := untilSignal()
+	defer stop()
+	return planner.New(planner.Options{Site: site, Log: c.Logger("planner")}).Run(ctx)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -201,37 +201,41 @@
 
 // Parse reads a site from Jsonnet text; vars are its external variables.
 func Parse(name, text string, vars map[string]string) (*Site, error) {
+	s := defaults()
+	if err := Evaluate(name, text, vars, &s); err != nil {
+		return nil, err
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("config: %s: %w", name, err)
+	}
+	return &s, nil
+}
+
+// Evaluate reads Jsonnet text into a struct, by its json tags. Unknown fields are errors.
+func Evaluate(name, text string, vars map[string]string, into any) error {
 	vm := jsonnet.MakeVM()
 	for k, v := range vars {
 		vm.ExtVar(k, v)
 	}
 	out, err := vm.EvaluateAnonymousSnippet(name, text)
 	if err != nil {
-		return nil, fmt.Errorf("config: %w", err)
+		return fmt.Errorf("config: %w", err)
 	}
 	var tree any
 	if err := json.Unmarshal([]byte(out), &tree); err != nil {
-		return nil, fmt.Errorf("config: %s: %w", name, err)
+		return fmt.Errorf("config: %s: %w", name, err)
 	}
-	s := defaults()
-	if err := decode(tree, &s); err != nil {
-		return nil, fmt.Errorf("config: %s: %w", name, err)
-	}
-	if err := s.check(); err != nil {
-		return nil, fmt.Errorf("config: %s: %w", name, err)
-	}
-	return &s, nil
-}
-
-func decode(tree any, into *Site) error {
 	d, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
 		Result: into, TagName: "json", ErrorUnused: true, DecodeHook: units,
 		MatchName: func(key, field string) bool { return key == field },
 	})
 	if err != nil {
-		return err
+		return fmt.Errorf("config: %w", err)
+	}
+	if err := d.Decode(tree); err != nil {
+		return fmt.Errorf("config: %s: %w", name, err)
 	}
-	return d.Decode(tree)
+	return nil
 }
 
 // units reads durations and rates, and whole numbers that are whole.
--- /dev/null
+++ b/internal/core/act.go
@@ -0,0 +1,214 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rainpulley/control"
+)
+
+// step tells the module a batch and carries out what it answers, in order.
+func (o *Owner) step(events []control.Event) {
+	for _, a := range o.Decider.Step(o.Now(), events) {
+		switch a := a.(type) {
+		case control.Send:
+			o.send(a)
+		case control.SetRung:
+			o.setRung(a)
+		case control.Refuse:
+			if r := o.owed(a.ID, "refuse"); r != nil {
+				o.answer(r, Answer{Kind: Refused, After: a.After})
+			}
+		case control.Fail:
+			if r := o.owed(a.ID, "fail"); r != nil {
+				o.answer(r, Answer{Kind: Failed})
+			}
+		case control.Cancel:
+			if r := o.open[a.ID]; r != nil && r.out && a.Attempt == r.attempts-1 {
+				r.cancel(errCancelled)
+			}
+		case control.Move:
+			o.move(a)
+		case control.Probe:
+			o.Carrier.Probe(a.Server)
+		case control.SetTimer:
+			o.timers.push(timer{at: o.Now() + a.In, label: a.Label})
+		case control.Subscribe:
+			o.Carrier.Subscribe()
+		case control.ReadList:
+			o.Carrier.ReadList()
+		case control.Tell:
+			o.Carrier.Tell(a.To, a.Data)
+		}
+	}
+}
+
+// owed is a request that still waits for its answer.
+func (o *Owner) owed(id, action string) *request {
+	r := o.open[id]
+	if r == nil || r.answered || r.gone {
+		o.Log.Debug("action for a request that is over", "session", id, "action", action)
+		return nil
+	}
+	return r
+}
+
+// send starts an attempt. One that may not go out ends as moot, which the module is told: of a request
+// that is over, beyond the most attempts, or beside another attempt of the same request.
+func (o *Owner) send(a control.Send) {
+	r := o.open[a.ID]
+	if r == nil || r.answered || r.gone || r.out || o.Most > 0 && r.attempts >= o.Most {
+		o.Stats.Moot.Add(1)
+		if r != nil && r.out {
+			o.Log.Error("second attempt kept back", "session", a.ID, "server", a.Server)
+		}
+		n := 0
+		if r != nil {
+			n = r.attempts
+		}
+		o.tell(control.Ended{ID: a.ID, Server: a.Server, Attempt: n, Outcome: control.Moot, Final: r == nil || r.answered || r.gone})
+		return
+	}
+	now := o.Now()
+	patience := r.Due - now
+	if a.Timeout > 0 {
+		patience = min(patience, a.Timeout)
+	}
+	attempt := Attempt{ID: r.ID, Server: a.Server, Number: r.attempts, Rung: r.rung, Class: r.Class, Tenant: r.Tenant,
+		Title: r.Title, Viewer: r.Viewer, Listener: r.listener}
+	ctx, cancel := context.WithCancelCause(o.ctx)
+	r.out, r.cancel, r.server, r.sent = true, cancel, a.Server, now
+	r.attempts++
+	o.Stats.Attempts.Add(1)
+	if r.attempts > 1 {
+		o.Stats.Further.Add(1)
+	}
+	o.Log.Info("attempt", "session", r.ID, "server", a.Server, "attempt", attempt.Number, "rung", attempt.Rung, "patience", patience)
+	go o.attempt(ctx, attempt, max(patience, 0), now)
+}
+
+func (o *Owner) attempt(ctx context.Context, a Attempt, patience, sent time.Duration) {
+	limited, stop := context.WithTimeoutCause(ctx, patience, errTimedOut)
+	defer stop()
+	res := o.Carrier.SetUp(limited, a)
+	if res.Outcome == control.Failed || res.Outcome == control.Reset {
+		switch cause := context.Cause(limited); { // closing the connection looks like a reset
+		case errors.Is(cause, errTimedOut):
+			res.Outcome = control.TimedOut
+		case errors.Is(cause, errCancelled):
+			res.Outcome = control.Cancelled
+		}
+	}
+	o.put(input{what: attemptEnded, id: a.ID, attempt: a.Number, server: a.Server, result: res, took: o.Now() - sent})
+}
+
+func (o *Owner) setRung(a control.SetRung) {
+	r := o.open[a.ID]
+	if r == nil {
+		return
+	}
+	changed := r.rung != a.Rung
+	r.rung = a.Rung
+	if r.playing && changed {
+		r.listener.Rung(a.Rung)
+		o.Log.Info("rung", "session", r.ID, "server", r.server, "rung", a.Rung)
+		o.Carrier.SetRung(Attempt{ID: r.ID, Server: r.server, Number: r.attempts - 1, Rung: a.Rung, Class: r.Class,
+			Tenant: r.Tenant, Title: r.Title, Viewer: r.Viewer, Listener: r.listener}, a.Rung)
+	}
+}
+
+// move takes a playing session off its server; its viewer comes back to this front.
+func (o *Owner) move(a control.Move) {
+	r := o.open[a.ID]
+	if r == nil || !r.playing {
+		return
+	}
+	o.Carrier.Release(r.ID, r.server, r.attempts-1)
+	o.Log.Info("session moved", "session", r.ID, "server", r.server)
+	r.listener.Ended(control.Cancelled, true)
+	o.forget(r)
+	o.tell(control.Ended{ID: r.ID, Server: r.server, Attempt: r.attempts - 1, Outcome: control.Cancelled,
+		Took: o.Now() - r.sent, Final: true})
+}
+
+// timer is one that the module set, or the backstop of a request's answer.
+type timer struct {
+	at       time.Duration
+	order    uint64
+	label    string
+	backstop bool
+}
+
+// timerHeap keeps timers by time, those of one time in the order in which they were set.
+type timerHeap struct {
+	list []timer
+	set  uint64
+}
+
+func (h *timerHeap) less(i, j int) bool {
+	a, b := &h.list[i], &h.list[j]
+	return a.at < b.at || a.at == b.at && a.order < b.order
+}
+
+func (h *timerHeap) push(t timer) {
+	h.set++
+	t.order = h.set
+	h.list = append(h.list, t)
+	for i := len(h.list) - 1; i > 0; {
+		up := (i - 1) / 2
+		if !h.less(i, up) {
+			break
+		}
+		h.list[i], h.list[up] = h.list[up], h.list[i]
+		i = up
+	}
+}
+
+func (h *timerHeap) pop() timer {
+	t, last := h.list[0], len(h.list)-1
+	h.list[0] = h.list[last]
+	h.list = h.list[:last]
+	for i := 0; ; {
+		low := i
+		for c := 2*i + 1; c <= 2*i+2 && c < last; c++ {
+			if h.less(c, low) {
+				low = c
+			}
+		}
+		if low == i {
+			return t
+		}
+		h.list[i], h.list[low] = h.list[low], h.list[i]
+		i = low
+	}
+}
+
+func (o *Owner) untilNext() time.Duration {
+	if len(o.timers.list) == 0 {
+		return time.Hour
+	}
+	return max(o.timers.list[0].at-o.Now(), 0)
+}
+
+// fire tells timers that are due. The backstop answers a request of which the module said nothing in
+// time: a viewer that waits for ever is worse than one that is told of a failure.
+func (o *Owner) fire() {
+	now := o.Now()
+	for len(o.timers.list) > 0 && o.timers.list[0].at <= now {
+		t := o.timers.pop()
+		if !t.backstop {
+			o.tell(control.TimerFired{Label: t.label})
+			continue
+		}
+		if r := o.open[t.label]; r != nil && !r.answered && !r.gone {
+			o.Stats.Overdue.Add(1)
+			o.Log.Error("answer overdue", "session", r.ID)
+			o.answer(r, Answer{Kind: Failed})
+			if r.out {
+				r.cancel(errCancelled)
+			}
+			o.tell(control.Left{ID: r.ID})
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,440 @@
+// Package core is the heart of an edge, whatever protocol its viewers speak: one goroutine owns the
+// decision module, takes what connections and servers report over bounded queues, and hands the module's
+// actions to a Carrier. It decides nothing itself. It keeps what the runtime owes the module: each
+// request has one answer, each attempt one end, never two attempts of one request out at once.
+package core
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"rainpulley/control"
+)
+
+// Decider is the decision module: control.Controller, or a policy to compare it with.
+type Decider interface {
+	Step(now time.Duration, events []control.Event) []control.Action
+}
+
+// Kind of an answer.
+type Kind int
+
+// Kinds of answers.
+const (
+	Plays Kind = iota + 1
+	Refused
+	Failed
+)
+
+func (k Kind) String() string {
+	switch k {
+	case Plays:
+		return "plays"
+	case Refused:
+		return "refused"
+	case Failed:
+		return "failed"
+	}
+	return "none"
+}
+
+// Answer is what a request comes to.
+type Answer struct {
+	Kind    Kind
+	Server  string
+	Rung    int
+	Attempt int           // that plays
+	After   time.Duration // with Refused: wait advised
+	Setup   any           // with Plays: what the carrier brought back
+}
+
+// Listener hears of one request. Its methods are called on the owner's goroutine and must not wait.
+type Listener interface {
+	Answered(Answer)                 // once
+	Rung(rung int)                   // while it plays
+	Ended(o control.Outcome, m bool) // a session that played is over; m: it was moved
+	Closed()                         // nothing of the request is out any more; the last call
+}
+
+// Attempt is one set-up that the carrier sends.
+type Attempt struct {
+	ID, Server    string
+	Number, Rung  int
+	Class, Tenant int
+	Title, Viewer uint64
+	Listener      Listener
+}
+
+// Result is how a set-up ended.
+type Result struct {
+	Outcome control.Outcome // Served: it plays
+	Load    *control.Load
+	Setup   any
+}
+
+// Carrier carries out actions. SetUp runs in a goroutine of its own and returns when the attempt is no
+// longer out; when ctx ends, it must give the attempt up before it returns. The others must not wait.
+type Carrier interface {
+	SetUp(ctx context.Context, a Attempt) Result
+	Release(id, server string, attempt int) // the server need not run it (any more)
+	SetRung(a Attempt, rung int)
+	Probe(server string)
+	Subscribe()
+	ReadList()
+	Tell(to int, data string)
+}
+
+// Options of an owner.
+type Options struct {
+	Queue   int           // requests waiting for a decision
+	Most    int           // attempts of one request; 0: not limited
+	Slack   time.Duration // after its deadline a request is still answered in time
+	Log     *slog.Logger
+	Decider Decider
+	Carrier Carrier
+	Now     func() time.Duration // rises, also over restarts
+}
+
+// Stats counts what an owner did; read by metrics.
+type Stats struct {
+	Requests, TurnedAway, Plays, Refused, Failed atomic.Int64
+	Attempts, Further, Moot, Overdue, NotesLost  atomic.Int64
+	Open                                         atomic.Int64
+}
+
+// Owner owns the module.
+type Owner struct {
+	Options
+	Stats    Stats
+	requests chan input // refused when full
+	events   chan input // waits when full: bounded by what is under way
+	notes    chan input // dropped when full: the next one tells the same
+	over     chan struct{}
+
+	open   map[string]*request
+	timers timerHeap
+	batch  []control.Event
+	ctx    context.Context
+}
+
+// input is one thing told to the owner.
+type input struct {
+	event    control.Event
+	request  *request
+	id       string
+	what     what
+	attempt  int
+	result   Result
+	took     time.Duration
+	server   string
+	sessions []string
+}
+
+type what int
+
+const (
+	anEvent what = iota
+	aRequest
+	attemptEnded
+	viewerLeft
+	playedOut
+	serverLost
+)
+
+// request is one request from its arrival until nothing more can come of it.
+type request struct {
+	control.Request
+	listener Listener
+	answered bool
+	gone     bool // the viewer left before the answer
+	playing  bool
+	server   string
+	attempts int
+	rung     int
+	out      bool // an attempt is out
+	cancel   context.CancelCauseFunc
+	sent     time.Duration
+}
+
+var (
+	errCancelled = errors.New("called off")
+	errTimedOut  = errors.New("no answer in time")
+)
+
+// New returns an owner; Run must be called.
+func New(o Options) *Owner {
+	return &Owner{Options: o, requests: make(chan input, o.Queue), events: make(chan input, 4096),
+		notes: make(chan input, 1024), over: make(chan struct{}), open: map[string]*request{}}
+}
+
+// Queued is the number of requests that wait for the decision.
+func (o *Owner) Queued() int { return len(o.requests) }
+
+// Request hands in a request; false if the queue is full, and then nothing is owed.
+func (o *Owner) Request(r control.Request, l Listener) bool {
+	select {
+	case o.requests <- input{what: aRequest, request: &request{Request: r, listener: l}}:
+		o.Stats.Requests.Add(1)
+		return true
+	default:
+		o.Stats.TurnedAway.Add(1)
+		return false
+	}
+}
+
+// Leave says that the viewer of a request went away, whether it waits or plays.
+func (o *Owner) Leave(id string) { o.put(input{what: viewerLeft, id: id}) }
+
+// PlayedOut says that a session came to its end.
+func (o *Owner) PlayedOut(id string) { o.put(input{what: playedOut, id: id}) }
+
+// Lost says that a server no longer runs these sessions.
+func (o *Owner) Lost(server string, ids []string) {
+	o.put(input{what: serverLost, server: server, sessions: ids})
+}
+
+// Event tells the module a list, a probe's result or a message.
+func (o *Owner) Event(e control.Event) { o.put(input{event: e}) }
+
+// Note tells a note; one too many is dropped.
+func (o *Owner) Note(n control.Note) {
+	select {
+	case o.notes <- input{event: n}:
+	default:
+		o.Stats.NotesLost.Add(1)
+	}
+}
+
+func (o *Owner) put(in input) {
+	select {
+	case o.events <- in:
+	case <-o.over:
+	}
+}
+
+// Run works until ctx ends. Attempts that are out then are given up.
+func (o *Owner) Run(ctx context.Context) {
+	defer close(o.over)
+	o.ctx = ctx
+	o.step(nil) // the module sets its first timers
+	clock := time.NewTimer(time.Hour)
+	defer clock.Stop()
+	for {
+		clock.Reset(o.untilNext())
+		select {
+		case <-ctx.Done():
+			o.failAll()
+			return
+		case in := <-o.events:
+			o.take(in)
+		case in := <-o.requests:
+			o.take(in)
+		case in := <-o.notes:
+			o.take(in)
+		case <-clock.C:
+		}
+		o.drain()
+		o.fire()
+		for len(o.batch) > 0 {
+			b := o.batch
+			o.batch = nil
+			o.step(b)
+		}
+	}
+}
+
+// mostInBatch bounds how much is told in one step, so that timers keep their time.
+const mostInBatch = 256
+
+// drain takes what else waits; ends before requests, so that a decision rests on the latest.
+func (o *Owner) drain() {
+	for range mostInBatch {
+		select {
+		case in := <-o.events:
+			o.take(in)
+			continue
+		default:
+		}
+		select {
+		case in := <-o.requests:
+			o.take(in)
+		case in := <-o.notes:
+			o.take(in)
+		default:
+			return
+		}
+	}
+}
+
+func (o *Owner) tell(e control.Event) { o.batch = append(o.batch, e) }
+
+func (o *Owner) take(in input) {
+	switch in.what {
+	case anEvent:
+		o.tell(in.event)
+	case aRequest:
+		o.begin(in.request)
+	case attemptEnded:
+		o.attemptEnded(in)
+	case viewerLeft:
+		o.left(in.id)
+	case playedOut:
+		o.end(in.id, control.Served)
+	case serverLost:
+		for _, id := range in.sessions {
+			if r := o.open[id]; r != nil && r.server == in.server {
+				o.end(id, control.Reset)
+			}
+		}
+	}
+}
+
+func (o *Owner) begin(r *request) {
+	if o.open[r.ID] != nil {
+		o.Log.Error("request id seen before", "session", r.ID)
+		r.listener.Answered(Answer{Kind: Failed})
+		r.listener.Closed()
+		return
+	}
+	o.open[r.ID] = r
+	o.Stats.Open.Add(1)
+	o.timers.push(timer{at: r.Due + o.Slack/2, label: r.ID, backstop: true})
+	o.tell(r.Request)
+}
+
+// attemptEnded is told by the goroutine of a set-up.
+func (o *Owner) attemptEnded(in input) {
+	r := o.open[in.id]
+	if r == nil {
+		return
+	}
+	r.out = false
+	r.cancel(nil)
+	e := control.Ended{ID: r.ID, Server: in.server, Attempt: in.attempt, Outcome: in.result.Outcome, Took: in.took,
+		Load: in.result.Load, Final: r.answered || r.gone}
+	if e.Outcome == control.Served && !e.Final {
+		r.playing = true
+		o.tell(control.Started{ID: r.ID, Server: in.server, Attempt: in.attempt, Took: in.took})
+		o.noteSetUp(r, in)
+		o.answer(r, Answer{Kind: Plays, Server: in.server, Rung: r.rung, Attempt: in.attempt, Setup: in.result.Setup})
+		return
+	}
+	if e.Outcome == control.Served { // nobody waits for it any more
+		e.Outcome = control.Cancelled
+	}
+	if mayRun(e.Outcome) {
+		o.Carrier.Release(r.ID, in.server, in.attempt)
+	}
+	o.Log.Info("attempt ended", "session", r.ID, "server", in.server, "attempt", in.attempt, "outcome", Name(e.Outcome),
+		"took", in.took, "final", e.Final)
+	if e.Final {
+		o.forget(r)
+	}
+	o.tell(e)
+}
+
+// noteSetUp passes on what the set-up's answer reported, as notes at set-up do.
+func (o *Owner) noteSetUp(r *request, in input) {
+	if l := in.result.Load; l != nil && l.Link != nil {
+		o.tell(control.Note{ID: r.ID, Server: in.server, Kind: control.NoteLink, Value: *l.Link})
+		if l.Uplink != nil {
+			o.tell(control.Note{ID: r.ID, Server: in.server, Kind: control.NoteUplink, Value: *l.Uplink})
+		}
+	}
+}
+
+// mayRun tells outcomes after which the server may still run the set-up.
+func mayRun(x control.Outcome) bool {
+	return x != control.Full && x != control.ConnectFailed && x != control.Moot
+}
+
+func (o *Owner) left(id string) {
+	r := o.open[id]
+	switch {
+	case r == nil:
+	case r.playing:
+		o.end(id, control.Cancelled)
+	case !r.gone:
+		r.gone = true
+		if !r.out {
+			o.forget(r)
+		}
+		o.tell(control.Left{ID: id})
+	}
+}
+
+// end closes a session that plays.
+func (o *Owner) end(id string, how control.Outcome) {
+	r := o.open[id]
+	if r == nil || !r.playing {
+		return
+	}
+	if how != control.Reset {
+		o.Carrier.Release(id, r.server, r.attempts-1)
+	}
+	o.Log.Info("session ended", "session", id, "server", r.server, "outcome", Name(how))
+	r.listener.Ended(how, false)
+	o.forget(r)
+	o.tell(control.Ended{ID: id, Server: r.server, Attempt: r.attempts - 1, Outcome: how, Took: o.Now() - r.sent, Final: true})
+}
+
+func (o *Owner) forget(r *request) {
+	delete(o.open, r.ID)
+	o.Stats.Open.Add(-1)
+	r.listener.Closed()
+}
+
+// answer gives a request its one answer.
+func (o *Owner) answer(r *request, a Answer) {
+	if r.answered {
+		o.Log.Error("second answer kept back", "session", r.ID, "answer", a.Kind.String())
+		return
+	}
+	r.answered = true
+	switch a.Kind {
+	case Plays:
+		o.Stats.Plays.Add(1)
+	case Refused:
+		o.Stats.Refused.Add(1)
+	case Failed:
+		o.Stats.Failed.Add(1)
+	}
+	o.Log.Info("answer", "session", r.ID, "answer", a.Kind.String(), "server", a.Server, "rung", a.Rung, "attempts", r.attempts)
+	r.listener.Answered(a)
+	if a.Kind != Plays && !r.out {
+		o.forget(r)
+	}
+}
+
+// failAll answers what is owed when the owner ends.
+func (o *Owner) failAll() {
+	for _, r := range o.open {
+		if r.cancel != nil {
+			r.cancel(errCancelled)
+		}
+		if !r.answered && !r.gone {
+			o.answer(r, Answer{Kind: Failed})
+		}
+	}
+	for {
+		select {
+		case in := <-o.requests:
+			in.request.listener.Answered(Answer{Kind: Failed})
+			in.request.listener.Closed()
+		default:
+			return
+		}
+	}
+}
+
+// Name is an outcome's word in logs.
+func Name(x control.Outcome) string {
+	names := [...]string{"served", "failed", "full", "timed out", "connect failed", "reset", "cancelled", "moot"}
+	if int(x) < len(names) {
+		return names[x]
+	}
+	return "unknown"
+}
--- a/internal/hls/window.go
+++ b/internal/hls/window.go
@@ -51,8 +51,11 @@
 		}
 		if s.Map != "" {
 			u, err := splitURI(base, s.Map)
-			if err != nil || u.path == "" {
-				return nil, fmt.Errorf("segment %d: map: no URI, or %w", i, err)
+			if err != nil {
+				return nil, fmt.Errorf("segment %d: map: %w", i, err)
+			}
+			if u.path == "" {
+				return nil, fmt.Errorf("segment %d: map without a URI of this host", i)
 			}
 			x.mapp, x.rest = u.before, u.path+u.after
 		}
@@ -135,19 +138,19 @@
 
 // Aim sets where the next entries are read from. Another host empties the window: nothing that is
 // published from now on names the host before. What had been published ahead of play there is
-// published again, from the segment at resume on.
+// published again, from the segment at resume on. The same holds for a new set-up, with another token.
 func (w *Window) Aim(host, token string, t *Track, resume int) {
-	w.token = token
+	same := w.host == host && w.token == token
 	if w.target < t.Target {
 		w.target = t.Target // must not change while players follow; all rungs of a title should agree
 	}
-	if w.host != host && w.host != "" {
+	if !same && w.host != "" {
 		w.drop(len(w.entries))
 		w.next, w.jump, w.ended = min(resume, w.next), true, false
 	} else if w.track != nil && w.track != t {
 		w.jump = true
 	}
-	w.host, w.track = host, t
+	w.host, w.token, w.track = host, token, t
 }
 
 func (w *Window) drop(n int) {
@@ -239,3 +242,10 @@
 	}
 	return dst
 }
+
+// Begin sets where an empty window starts in the content; one that published before goes on.
+func (w *Window) Begin(at int) {
+	if w.sequence == 0 && len(w.entries) == 0 && w.next == 0 {
+		w.next, w.sequence = at, uint64(at)
+	}
+}
--- a/internal/join/join.go
+++ b/internal/join/join.go
@@ -16,6 +16,7 @@
 	Lost                  // its server was lost, or it was moved; the viewer may come again
 	Over                  // played to its end, or the viewer left
 	Answered              // refused or failed
+	Leaving               // its viewer went away, an attempt may still be out
 )
 
 // Session is what is known of the viewer's session of this title and class.
@@ -43,6 +44,7 @@
 	Wait                  // for the answer that the session is owed
 	Try                   // a new try, with the marks below
 	Absent                // there is nothing to reload: the viewer begins anew
+	Hold                  // until nothing of the earlier try is out, then decide again
 )
 
 // Decision is a verdict with the marks of the try.
@@ -63,6 +65,8 @@
 	switch s.State {
 	case Pending:
 		return Decision{Verdict: Wait, Repeat: true}
+	case Leaving: // a new try beside an attempt that is out would be two at once
+		return Decision{Verdict: Hold}
 	case Playing:
 		return Decision{Verdict: Serve, Repeat: true}
 	case Lost:
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,240 @@
+package planner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"rainpulley/internal/config"
+	"rainpulley/internal/http1"
+	"rainpulley/internal/view"
+)
+
+// Options of a planner.
+type Options struct {
+	Site     *config.Site
+	Listener net.Listener // nil: as the site says
+	Log      *slog.Logger
+}
+
+// Planner is a running planner.
+type Planner struct {
+	Options
+	client *http1.Client
+
+	mu    sync.Mutex
+	watch *Watch
+	now   view.View
+	more  chan struct{} // closed and replaced at each change
+}
+
+// New makes a planner. Its versions begin at the time, so that a restarted one is above its forerunner.
+func New(o Options) *Planner {
+	p := &Planner{Options: o, watch: NewWatch(o.Site.Planner.GoneAfter, uint64(time.Now().UnixMilli())), more: make(chan struct{}),
+		client: &http1.Client{Limits: http1.DefaultLimits(), Connect: o.Site.Planner.CheckFor.D()}}
+	for _, b := range o.Site.Boxes {
+		p.watch.Add(view.Box{ID: b.Addr, Zone: b.Zone, Kind: b.Kind, Cell: b.Cell, Rack: b.Cell % o.Site.Racks, Weight: b.Weight})
+	}
+	for _, t := range o.Site.Titles {
+		p.watch.SetTitle(view.Title{Name: t.Name, Home: t.Home, Span: t.Span, Length: t.Length.D().Milliseconds()})
+	}
+	return p
+}
+
+// Run serves until ctx ends.
+func (p *Planner) Run(ctx context.Context) error {
+	if p.Listener == nil {
+		var err error
+		if p.Listener, err = net.Listen("tcp", p.Site.Planner.Listen); err != nil {
+			return fmt.Errorf("planner: %w", err)
+		}
+	}
+	var work sync.WaitGroup
+	for i, b := range p.Site.Boxes {
+		work.Add(1)
+		go func() { defer work.Done(); p.check(ctx, b.Addr, i) }()
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/stream", p.stream)
+	mux.HandleFunc("GET /v1/view", p.whole)
+	mux.HandleFunc("POST /v1/boxes/{id}/drain", func(w http.ResponseWriter, r *http.Request) { p.drain(w, r, true) })
+	mux.HandleFunc("DELETE /v1/boxes/{id}/drain", func(w http.ResponseWriter, r *http.Request) { p.drain(w, r, false) })
+	mux.HandleFunc("PUT /v1/titles/{name}", p.setTitle)
+	mux.HandleFunc("DELETE /v1/titles/{name}", p.setTitle)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 16 << 10,
+		BaseContext: func(net.Listener) context.Context { return ctx }}
+	stop := context.AfterFunc(ctx, func() {
+		limited, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if s.Shutdown(limited) != nil {
+			_ = s.Close()
+		}
+	})
+	defer stop()
+	p.Log.Info("planner serves", "address", p.Listener.Addr().String(), "boxes", len(p.Site.Boxes), "titles", len(p.Site.Titles))
+	err := s.Serve(p.Listener)
+	work.Wait()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// publish makes the watch's view known if it changed. p.mu is held.
+func (p *Planner) publish() {
+	if p.now.Version == 0 && !p.watch.Settled() {
+		return
+	}
+	v, changed := p.watch.View()
+	if !changed && p.now.Version > 0 {
+		return
+	}
+	p.now = v
+	close(p.more)
+	p.more = make(chan struct{})
+}
+
+// health is what a box says of itself.
+type health struct {
+	State     string `json:"state"`
+	Boot      string `json:"boot"`
+	StartedMs int64  `json:"started_ms"`
+}
+
+// check asks one box again and again. Boxes are asked at different parts of the period.
+func (p *Planner) check(ctx context.Context, addr string, number int) {
+	every := p.Site.Planner.CheckEvery.D()
+	wait := time.NewTimer(every * time.Duration(number) / time.Duration(len(p.Site.Boxes)))
+	defer wait.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wait.C:
+		}
+		wait.Reset(every)
+		c := p.ask(ctx, addr)
+		if ctx.Err() != nil {
+			return
+		}
+		p.mu.Lock()
+		p.watch.Saw(addr, c)
+		before := p.now.Version
+		p.publish()
+		after := p.now.Version
+		p.mu.Unlock()
+		if after != before {
+			p.Log.Info("view", "version", after, "cause", addr, "answered", c.Answered, "draining", c.Draining, "boot", c.Boot)
+		}
+	}
+}
+
+func (p *Planner) ask(ctx context.Context, addr string) Check {
+	limited, cancel := context.WithTimeout(ctx, p.Site.Planner.CheckFor.D())
+	defer cancel()
+	r, err := p.client.Do(limited, addr, "GET", "/health", nil, nil)
+	var h health
+	if err != nil || r.Status != 200 || json.Unmarshal(r.Body, &h) != nil {
+		return Check{}
+	}
+	c := Check{Answered: true, Draining: h.State == "draining", Boot: h.Boot}
+	if h.StartedMs > 0 {
+		c.Started = time.UnixMilli(h.StartedMs)
+	}
+	return c
+}
+
+const (
+	heartbeat = time.Second
+	sendFor   = 5 * time.Second // an edge that takes nothing for so long is let go
+)
+
+// stream sends the whole view, then each change, and a heartbeat in between.
+func (p *Planner) stream(w http.ResponseWriter, r *http.Request) {
+	out := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	enc := json.NewEncoder(w)
+	var sent view.View
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	for first := true; ; {
+		p.mu.Lock()
+		v, more := p.now, p.more
+		p.mu.Unlock()
+		if v.Version == 0 { // nothing settled yet
+			select {
+			case <-r.Context().Done():
+				return
+			case <-more:
+			}
+			continue
+		}
+		l := view.Line{Version: v.Version}
+		switch {
+		case first:
+			l = view.Line{Version: v.Version, Whole: true, Boxes: v.Boxes, Titles: v.Titles}
+		case v.Version != sent.Version:
+			l = view.Diff(sent, v)
+		}
+		sent, first = v, false
+		_ = out.SetWriteDeadline(time.Now().Add(sendFor))
+		if enc.Encode(l) != nil || out.Flush() != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-more:
+		case <-beat.C:
+		}
+	}
+}
+
+func (p *Planner) whole(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	v := p.now
+	p.mu.Unlock()
+	if v.Version == 0 {
+		http.Error(w, "the fleet is not checked yet", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(view.Line{Version: v.Version, Whole: true, Boxes: v.Boxes, Titles: v.Titles})
+}
+
+func (p *Planner) drain(w http.ResponseWriter, r *http.Request, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.watch.Drain(r.PathValue("id"), on) {
+		http.Error(w, "no such box", http.StatusNotFound)
+		return
+	}
+	p.publish()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Planner) setTitle(w http.ResponseWriter, r *http.Request) {
+	t := view.Title{Name: r.PathValue("name")}
+	if r.Method == http.MethodPut {
+		d := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4096))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&t); err != nil || t.Name != r.PathValue("name") || t.Home < 0 || t.Home >= p.Site.Cells ||
+			t.Span < 1 || t.Span > p.Site.Cells {
+			http.Error(w, "want {\"name\",\"home\",\"span\",\"length_ms\"} that fit the cells", http.StatusBadRequest)
+			return
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.watch.SetTitle(t)
+	p.publish()
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/planner/watch.go
@@ -0,0 +1,136 @@
+// Package planner watches the fleet and publishes the versioned view that edges follow.
+package planner
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"rainpulley/internal/view"
+)
+
+// Check is what one health check of a box found.
+type Check struct {
+	Answered bool
+	Draining bool
+	Boot     string    // changes when the box's process starts anew
+	Started  time.Time // zero: not told
+}
+
+// Watch turns checks into the view. It does no I/O and reads no clock: what to believe of checks is
+// settled here. A box is listed once a check was answered; one that misses several in a row is gone; one
+// that answers with another boot has restarted, and its start counts as told by the box.
+type Watch struct {
+	goneAfter int
+	boxes     map[string]*watched
+	titles    map[string]view.Title
+	version   uint64
+	last      view.View
+}
+
+type watched struct {
+	box    view.Box
+	known  bool // ever answered
+	misses int
+	boot   string
+	drain  bool // told by an operator, whatever the box says
+}
+
+// NewWatch begins with nothing known. Versions rise from first, which must be above those of an earlier
+// planner of the same fleet.
+func NewWatch(goneAfter int, first uint64) *Watch {
+	return &Watch{goneAfter: max(goneAfter, 1), boxes: map[string]*watched{}, titles: map[string]view.Title{},
+		version: first, last: view.View{Version: first}}
+}
+
+// Add makes a box known; it is not listed before it answers.
+func (w *Watch) Add(b view.Box) {
+	if w.boxes[b.ID] == nil {
+		b.State = view.Gone
+		w.boxes[b.ID] = &watched{box: b}
+	}
+}
+
+// Remove forgets a box.
+func (w *Watch) Remove(id string) { delete(w.boxes, id) }
+
+// Drain marks a box for draining, or ends that.
+func (w *Watch) Drain(id string, on bool) bool {
+	b := w.boxes[id]
+	if b == nil {
+		return false
+	}
+	b.drain = on
+	if on && b.box.State == view.Ready {
+		b.box.State = view.Draining
+	} else if !on && b.box.State == view.Draining {
+		b.box.State = view.Ready // the next check says otherwise where the box itself drains
+	}
+	return true
+}
+
+// SetTitle adds or changes a title; a span of 0 removes it.
+func (w *Watch) SetTitle(t view.Title) {
+	if t.Span == 0 {
+		delete(w.titles, t.Name)
+		return
+	}
+	w.titles[t.Name] = t
+}
+
+// Saw takes a check.
+func (w *Watch) Saw(id string, c Check) {
+	b := w.boxes[id]
+	if b == nil {
+		return
+	}
+	if !c.Answered {
+		if b.misses++; b.misses >= w.goneAfter {
+			b.box.State = view.Gone
+		}
+		return
+	}
+	b.misses, b.known = 0, true
+	if c.Boot != b.boot || b.box.Started == 0 {
+		b.boot = c.Boot
+		if !c.Started.IsZero() {
+			b.box.Started = c.Started.UnixMilli()
+		}
+	}
+	b.box.State = view.Ready
+	if c.Draining || b.drain {
+		b.box.State = view.Draining
+	}
+}
+
+// Settled tells that every box was heard of or missed often enough. Before that the view is not worth
+// publishing: a planner that starts would tell its edges that the whole fleet is gone.
+func (w *Watch) Settled() bool {
+	for _, b := range w.boxes {
+		if !b.known && b.misses < w.goneAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// View is the view as it stands, with a higher version if anything changed since the last call.
+func (w *Watch) View() (v view.View, changed bool) {
+	for _, b := range w.boxes {
+		if b.box.State != view.Gone {
+			v.Boxes = append(v.Boxes, b.box)
+		}
+	}
+	for _, t := range w.titles {
+		v.Titles = append(v.Titles, t)
+	}
+	slices.SortFunc(v.Boxes, func(a, b view.Box) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(v.Titles, func(a, b view.Title) int { return strings.Compare(a.Name, b.Name) })
+	if slices.Equal(v.Boxes, w.last.Boxes) && slices.Equal(v.Titles, w.last.Titles) {
+		return w.last, false
+	}
+	w.version++
+	v.Version = w.version
+	w.last = v
+	return v, true
+}
--- /dev/null
+++ b/internal/scenario/result.go
@@ -0,0 +1,138 @@
+package scenario
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"rainpulley/internal/audit"
+)
+
+// Result is what a day came to. All boxes and viewers are stand-ins.
+type Result struct {
+	Scenario  string         `json:"scenario"`
+	Policy    string         `json:"policy"`
+	Seed      uint64         `json:"seed"`
+	Sessions  int            `json:"sessions"`
+	Outcomes  map[string]int `json:"outcomes"`
+	Doubles   int            `json:"double_outcomes"`
+	Overlaps  int            `json:"overlapping_attempts"`
+	Broken    []string       `json:"broken_rules"`
+	Asked     float64        `json:"worth_asked"`
+	Delivered float64        `json:"worth_delivered"`
+	Share     float64        `json:"worth_share"`
+	Edges     int            `json:"edges"`
+	Boxes     int            `json:"boxes"`
+	Faults    int            `json:"faults"`
+	Requests  int            `json:"requests"`
+	Retries   int            `json:"retries"`
+	Breaks    int            `json:"breaks"`
+	Segments  int            `json:"segments"`
+	StalledS  float64        `json:"stalled_s"`
+	First     Times          `json:"first_playlist_ms"`
+	Classes   []ClassResult  `json:"classes"`
+	Verdict   *audit.Verdict `json:"audit"`
+	Bad       []string       `json:"players_could_not_follow"`
+	Baseline  *Short         `json:"baseline,omitempty"`
+}
+
+// Short is what is kept of the policy that a day is compared with.
+type Short struct {
+	Policy    string   `json:"policy"`
+	Sessions  int      `json:"sessions"`
+	Share     float64  `json:"worth_share"`
+	Delivered float64  `json:"worth_delivered"`
+	Asked     float64  `json:"worth_asked"`
+	Broken    []string `json:"broken_rules"`
+}
+
+// Times are percentiles in milliseconds.
+type Times struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+	N   int64   `json:"n"`
+}
+
+// ClassResult is a class's part.
+type ClassResult struct {
+	Name      string  `json:"name"`
+	Sessions  int     `json:"sessions"`
+	Played    int     `json:"played"`
+	Late      int     `json:"late"`
+	Refused   int     `json:"refused"`
+	Failed    int     `json:"failed"`
+	Asked     float64 `json:"worth_asked"`
+	Delivered float64 `json:"worth_delivered"`
+}
+
+// Result works out what the day came to.
+func (r *Run) Result() *Result {
+	entries := r.Entries()
+	v := audit.Judge(r.Site, entries)
+	out := &Result{Scenario: r.Script.Name, Policy: r.Policy, Seed: r.Seed, Outcomes: map[string]int{"played": 0, "late": 0, "refused": 0, "failed": 0},
+		Doubles: v.Doubles, Overlaps: v.Overlaps, Broken: v.Broken(), Edges: len(r.Site.Edges), Boxes: len(r.Site.Boxes),
+		Faults: r.faults, Verdict: v, Bad: []string{}}
+	hist := hdrhistogram.New(1, 60_000_000, 3)
+	for _, c := range r.Site.Classes {
+		out.Classes = append(out.Classes, ClassResult{Name: c.Name})
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.reports {
+		out.Sessions++
+		out.Outcomes[p.Outcome]++
+		out.Asked, out.Delivered = out.Asked+p.Asked, out.Delivered+p.Delivered
+		out.Requests, out.Retries, out.Breaks = out.Requests+p.Requests, out.Retries+max(p.Requests-1, 0), out.Breaks+p.Breaks
+		out.Segments, out.StalledS = out.Segments+p.Segments, out.StalledS+p.Stalled.Seconds()
+		out.Bad = append(out.Bad, p.Bad...)
+		if p.First > 0 {
+			_ = hist.RecordValue(p.First.Microseconds())
+		}
+		k := &out.Classes[p.Class]
+		k.Sessions++
+		k.Asked, k.Delivered = k.Asked+p.Asked, k.Delivered+p.Delivered
+		*map[string]*int{"played": &k.Played, "late": &k.Late, "refused": &k.Refused, "failed": &k.Failed}[p.Outcome]++
+	}
+	out.First = Times{float64(hist.ValueAtQuantile(50)) / 1000, float64(hist.ValueAtQuantile(99)) / 1000, hist.TotalCount()}
+	if out.Asked > 0 {
+		out.Share = round(out.Delivered / out.Asked)
+	}
+	out.Asked, out.Delivered, out.StalledS = round(out.Asked), round(out.Delivered), round(out.StalledS)
+	return out
+}
+
+func round(x float64) float64 { return math.Round(x*1000) / 1000 }
+
+// Table writes the short table.
+func (o *Result) Table(w io.Writer) {
+	fmt.Fprintf(w, "\n%s, policy %s, seed %d: %d edges, %d stand-in boxes, %d faults\n", o.Scenario, o.Policy, o.Seed, o.Edges, o.Boxes, o.Faults)
+	fmt.Fprintf(w, "%-12s %7s %7s %6s %8s %7s %11s %10s\n", "class", "asked", "played", "late", "refused", "failed", "worth asked", "delivered")
+	for _, c := range o.Classes {
+		fmt.Fprintf(w, "%-12s %7d %7d %6d %8d %7d %11.0f %10.0f\n", c.Name, c.Sessions, c.Played, c.Late, c.Refused, c.Failed, c.Asked, c.Delivered)
+	}
+	fmt.Fprintf(w, "worth delivered of asked: %.3f; first playlist p50 %.1f ms, p99 %.1f ms; %d retries, %d breaks\n\n",
+		o.Share, o.First.P50, o.First.P99, o.Retries, o.Breaks)
+	for _, rule := range audit.Rules() {
+		word, n := "kept", 0
+		for _, b := range o.Verdict.Breaches {
+			if b.Rule == rule {
+				word, n = "BROKEN", n+1
+			}
+		}
+		fmt.Fprintf(w, "%-26s %-7s checked %d times", rule, word, o.Verdict.Checks[rule])
+		if n > 0 {
+			fmt.Fprintf(w, ", broken %d times", n)
+		}
+		fmt.Fprintln(w)
+	}
+	for i, b := range o.Verdict.Breaches {
+		if i == 20 {
+			fmt.Fprintf(w, "... and %d more\n", len(o.Verdict.Breaches)-i)
+			break
+		}
+		fmt.Fprintf(w, "  %s at %s: box %s session %s: %s\n", b.Rule, time.Duration(b.T)*time.Microsecond, b.Box, b.Session, b.Why)
+	}
+}
--- /dev/null
+++ b/internal/scenario/run.go
@@ -0,0 +1,261 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"rainpulley/internal/audit"
+	"rainpulley/internal/config"
+	"rainpulley/internal/standin"
+)
+
+// Options of a run.
+type Options struct {
+	Script   *Script
+	Seed     uint64
+	Policy   string   // "module" or "random"
+	Command  []string // starts this program; "edge" or "planner" and flags follow
+	Dir      string   // for the site file, states and logs
+	Speed    float64  // the script's clock over the real one; 0: 1
+	Quiet    bool
+	Progress io.Writer
+}
+
+// Run is one running fleet.
+type Run struct {
+	Options
+	Site    *config.Site
+	fleet   *standin.Fleet
+	log     *audit.Log
+	relays  []*standin.Relay
+	path    string
+	procs   []*process // edges, then the planner
+	rnd     *rand.Rand
+	mu      sync.Mutex
+	rate    float64 // times as many viewers
+	hot     float64
+	reports []standin.Report
+	viewers sync.WaitGroup
+	faults  int
+}
+
+// process is one program of the fleet, started again under the same arguments.
+type process struct {
+	name string
+	args []string
+	cmd  *exec.Cmd
+	log  *os.File
+	mu   sync.Mutex
+	done chan struct{}
+}
+
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = exec.Command(p.args[0], p.args[1:]...)
+	p.cmd.Stderr = p.log
+	if err := p.cmd.Start(); err != nil {
+		return fmt.Errorf("scenario: %s: %w", p.name, err)
+	}
+	p.done = make(chan struct{})
+	go func(c *exec.Cmd, done chan struct{}) { _ = c.Wait(); close(done) }(p.cmd, p.done)
+	return nil
+}
+
+// end sends a signal and waits; what does not end by then is killed.
+func (p *process) end(sig syscall.Signal, within time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.Process == nil {
+		return
+	}
+	_ = p.cmd.Process.Signal(sig)
+	select {
+	case <-p.done:
+	case <-time.After(within):
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+}
+
+// Start brings up boxes, relays, planner and edges, and waits until every edge has its view.
+func Start(ctx context.Context, o Options) (*Run, error) {
+	site, err := makeSite(o.Script)
+	if err != nil {
+		return nil, err
+	}
+	if o.Speed <= 0 {
+		o.Speed = 1
+	}
+	r := &Run{Options: o, Site: site, log: audit.NewLog(), rnd: rand.New(rand.NewPCG(o.Seed, 11)), rate: 1}
+	r.fleet = standin.NewFleet(site, r.log, o.Seed)
+	if err := r.fleet.Start(ctx); err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	if r.path, err = writeSite(o.Dir, site); err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	for i := range site.Edges {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("scenario: %w", err)
+		}
+		relay := &standin.Relay{Edge: i, Target: site.Planner.Listen, Log: r.log}
+		r.relays = append(r.relays, relay)
+		go relay.Serve(ctx, ln)
+		if err := r.add("edge-"+strconv.Itoa(i), "edge", "--site", r.path, "--position", strconv.Itoa(i), "--planner", ln.Addr().String(),
+			"--state", filepath.Join(o.Dir, "state"), "--seed", strconv.FormatUint(o.Seed+uint64(i), 10), "--policy", o.Policy, "--grace", "6s"); err != nil {
+			return r, err
+		}
+	}
+	if err := r.add("planner", "planner", "--site", r.path); err != nil {
+		return r, err
+	}
+	for _, p := range r.procs {
+		if err := p.start(); err != nil {
+			return r, err
+		}
+	}
+	return r, r.waitReady(ctx)
+}
+
+func (r *Run) add(name string, args ...string) error {
+	f, err := os.Create(filepath.Join(r.Dir, name+".log"))
+	if err != nil {
+		return fmt.Errorf("scenario: %w", err)
+	}
+	r.procs = append(r.procs, &process{name: name, args: append(append([]string(nil), r.Command...), args...), log: f})
+	return nil
+}
+
+func (r *Run) waitReady(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	for i, e := range r.Site.Edges {
+		for {
+			var s struct{ Boxes int }
+			if p, err := http.Get("http://" + e.Listen + "/status"); err == nil {
+				_ = json.NewDecoder(p.Body).Decode(&s)
+				_ = p.Body.Close()
+			}
+			if s.Boxes == len(r.Site.Boxes) {
+				break
+			}
+			select {
+			case <-limited.Done():
+				return fmt.Errorf("scenario: edge %d has no view; its log is in %s", i, r.Dir)
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// Play goes through the script and waits for the last viewer.
+func (r *Run) Play(ctx context.Context) {
+	length := time.Duration(float64(r.Script.Length.D()) / r.Speed)
+	day, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	var work sync.WaitGroup
+	for _, f := range r.Script.Faults {
+		r.faults++
+		seed := r.rnd.Uint64()
+		work.Add(1)
+		go func() { defer work.Done(); r.play(ctx, f, rand.New(rand.NewPCG(seed, 1))) }()
+	}
+	r.arrivals(day, ctx)
+	work.Wait()
+	r.viewers.Wait()
+}
+
+// arrivals start viewers at random distances, as the rate asks.
+func (r *Run) arrivals(day, ctx context.Context) {
+	for {
+		r.mu.Lock()
+		rate := r.Script.Rate * r.rate * r.Speed
+		r.mu.Unlock()
+		select {
+		case <-day.Done():
+			return
+		case <-time.After(time.Duration(r.rnd.ExpFloat64() / rate * float64(time.Second))):
+		}
+		v := r.viewer()
+		r.viewers.Add(1)
+		go func() {
+			defer r.viewers.Done()
+			rep := v.Run(ctx)
+			r.mu.Lock()
+			r.reports = append(r.reports, rep)
+			r.mu.Unlock()
+		}()
+	}
+}
+
+func (r *Run) viewer() *standin.Viewer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := &standin.Viewer{Site: r.Site, Log: r.log, Key: "k" + strconv.FormatUint(r.rnd.Uint64(), 36), Retries: 4}
+	v.Class = [...]int{0, 0, 0, 0, 0, 0, 0, 1, 1, 1, 1, 1, 1, 1, 1, 1, 2, 2, 2, 2}[r.rnd.IntN(20)]
+	class := r.Site.Classes[v.Class]
+	v.Best = len(r.Site.Ladder) - 1
+	if class.Top != nil {
+		v.Best = *class.Top
+	}
+	if r.rnd.Float64() < 0.25 {
+		v.Best = max(v.Best-1-r.rnd.IntN(2), class.Floor)
+	}
+	title := int(math.Pow(float64(len(r.Site.Titles)), r.rnd.Float64())) - 1 // about Zipf's law
+	if r.rnd.Float64() < r.hot {
+		title = len(r.Site.Titles) - 1
+	}
+	v.Title = r.Site.Titles[title].Name
+	v.Length = time.Duration((meanLength + lengthSpread*(2*r.rnd.Float64()-1)) * float64(time.Second))
+	first := r.rnd.IntN(len(r.Site.Edges))
+	for i := range r.Site.Edges {
+		n := (first + i) % len(r.Site.Edges)
+		v.Edges, v.Position = append(v.Edges, r.Site.Edges[n].Listen), append(v.Position, n)
+	}
+	if r.rnd.Float64() < 0.02 { // gives up at once, in a race with the answer
+		v.Patience = time.Duration(5+r.rnd.IntN(60)) * time.Millisecond
+	}
+	v.Rand = rand.New(rand.NewPCG(r.rnd.Uint64(), 3))
+	return v
+}
+
+// Stop ends the programs in order. Kept logs are in Dir.
+func (r *Run) Stop() {
+	var work sync.WaitGroup
+	for _, p := range r.procs {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			p.end(syscall.SIGTERM, 8*time.Second)
+			_ = p.log.Close()
+		}()
+	}
+	work.Wait()
+}
+
+// Entries is what passed on the sockets.
+func (r *Run) Entries() []audit.Entry { return r.log.Entries() }
+
+// Address is where a player finds a title.
+func (r *Run) Address() string {
+	return "http://" + r.Site.Edges[0].Listen + "/play/" + r.Site.Titles[0].Name + "/index.m3u8"
+}
--- /dev/null
+++ b/internal/scenario/script.go
@@ -0,0 +1,119 @@
+// Package scenario plays scripted days through real planner and edge processes against stand-in boxes
+// and viewers on loopback, and judges them by what passed on the sockets.
+package scenario
+
+import (
+	"embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"rainpulley/internal/config"
+)
+
+// Script is a day: its size and its trouble.
+type Script struct {
+	Name   string          `json:"name"`
+	About  string          `json:"about"`
+	Length config.Duration `json:"length"`
+	Boxes  int             `json:"boxes"`
+	Edges  int             `json:"edges"`
+	Rate   float64         `json:"rate"` // new sessions a second
+	Load   float64         `json:"load"` // what viewers ask at the middle rate over what links give
+	Titles int             `json:"titles"`
+	Faults []Fault         `json:"faults"`
+}
+
+// Fault is one trouble. Part is a share of the boxes, edges or racks that it meets, Size its strength.
+type Fault struct {
+	Kind string          `json:"kind"`
+	At   config.Duration `json:"at"`
+	For  config.Duration `json:"for"`
+	Part float64         `json:"part"`
+	Size float64         `json:"size"`
+}
+
+// kinds of faults, with what Size means.
+var kinds = map[string]string{
+	"drain":        "boxes drain",
+	"crash":        "boxes crash and come back cold after the time",
+	"hang":         "boxes take work and answer nothing",
+	"answer_lost":  "set-ups run, the share size of their answers is lost",
+	"refuse":       "boxes turn set-ups away",
+	"slow":         "links give size times less",
+	"weak_uplink":  "racks' uplinks give size times less",
+	"late_notes":   "notes come size seconds later",
+	"frozen_notes": "link notes repeat their last value",
+	"late_list":    "edges hear of list changes size seconds later",
+	"cut_zone":     "edges lose the planner",
+	"burst":        "size times as many viewers come",
+	"hot_title":    "the share size of the viewers wants one title",
+	"kill_edge":    "edges are killed and come back after the time with their last list",
+	"kill_planner": "the planner is killed and comes back after the time",
+}
+
+//go:embed scripts/*.jsonnet
+var scripts embed.FS
+
+// Names lists the scripts that come with the program.
+func Names() (out []string) {
+	names, _ := fs.Glob(scripts, "scripts/*.jsonnet")
+	for _, n := range names {
+		out = append(out, strings.TrimSuffix(strings.TrimPrefix(n, "scripts/"), ".jsonnet"))
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Load reads a script by its name among those that come with the program, or from a file.
+func Load(name string) (*Script, error) {
+	if slices.Contains(Names(), name) {
+		text, err := scripts.ReadFile("scripts/" + name + ".jsonnet")
+		if err != nil {
+			return nil, err
+		}
+		return Parse(name, string(text))
+	}
+	if !strings.ContainsAny(name, "./") {
+		return nil, fmt.Errorf("scenario: no scenario %q; there are %s", name, strings.Join(Names(), ", "))
+	}
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	return Parse(name, string(text))
+}
+
+// Parse reads a script from Jsonnet text.
+func Parse(name, text string) (*Script, error) {
+	s := &Script{Length: config.Duration(30 * time.Second), Boxes: 12, Edges: 3, Rate: 15, Load: 0.85, Titles: 24}
+	if err := config.Evaluate(name, text, nil, s); err != nil {
+		return nil, err
+	}
+	if s.Name == "" {
+		s.Name = name
+	}
+	var errs []error
+	bad := func(ok bool, format string, a ...any) {
+		if !ok {
+			errs = append(errs, fmt.Errorf("scenario: %s: "+format, append([]any{name}, a...)...))
+		}
+	}
+	bad(s.Length > 0 && s.Length.D() <= time.Hour, "length: above 0, an hour at most")
+	bad(s.Boxes >= 3 && s.Boxes <= 400, "boxes: 3 to 400")
+	bad(s.Edges >= 1 && s.Edges <= 32, "edges: 1 to 32")
+	bad(s.Rate > 0 && s.Rate <= 1000, "rate: above 0, 1000 at most")
+	bad(s.Load > 0, "load: above 0")
+	bad(s.Titles >= 1 && s.Titles <= 10000, "titles: 1 to 10000")
+	for i, f := range s.Faults {
+		_, ok := kinds[f.Kind]
+		bad(ok, "faults[%d].kind: %q is not known", i, f.Kind)
+		bad(f.At >= 0 && f.For >= 0 && f.At <= s.Length, "faults[%d]: at and for must lie in the day", i)
+		bad(f.Part >= 0 && f.Part <= 1 && f.Size >= 0, "faults[%d]: part is a share, size not negative", i)
+	}
+	return s, errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/scenario/scripts/silent-boxes.jsonnet
@@ -0,0 +1,10 @@
+local fault(kind, at, dur, part=0, size=0) = { kind: kind, at: at, 'for': dur, part: part, size: size };
+{
+  name: 'silent-boxes',
+  about: 'boxes hang and answers are lost',
+  length: '20s',
+  faults: [
+    fault('hang', '4s', '8s', part=0.2, size=0),
+    fault('answer_lost', '10s', '8s', part=0.3, size=0.6),
+  ],
+}
--- /dev/null
+++ b/internal/standin/relay.go
@@ -0,0 +1,143 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"rainpulley/internal/audit"
+	"rainpulley/internal/view"
+)
+
+// Relay stands between the planner and one edge. It passes bytes on, late if told so, and logs what the
+// edge was told about each box.
+type Relay struct {
+	Edge   int
+	Target string
+	Log    *audit.Log
+
+	mu    sync.Mutex
+	delay time.Duration
+	cut   bool
+	conns map[net.Conn]bool
+	boxes map[string]bool // ever told as ready
+}
+
+// SetDelay holds lines back for so long.
+func (r *Relay) SetDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Cut breaks and refuses connections, or lets them through again.
+func (r *Relay) Cut(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = on
+	for c := range r.conns {
+		if on {
+			_ = c.Close()
+		}
+	}
+}
+
+// Serve relays until ctx ends.
+func (r *Relay) Serve(ctx context.Context, ln net.Listener) {
+	r.conns, r.boxes = map[net.Conn]bool{}, map[string]bool{}
+	defer context.AfterFunc(ctx, func() {
+		_ = ln.Close()
+		r.Cut(true)
+	})()
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go r.pass(c)
+	}
+}
+
+func (r *Relay) pass(in net.Conn) {
+	defer in.Close()
+	r.mu.Lock()
+	cut := r.cut
+	r.conns[in] = true
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		delete(r.conns, in)
+		r.mu.Unlock()
+	}()
+	if cut {
+		return
+	}
+	out, err := net.DialTimeout("tcp", r.Target, time.Second)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	go func() {
+		_, _ = io.Copy(out, in)
+		_ = out.Close()
+	}()
+	var rest []byte
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := out.Read(buf)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		wait := r.delay
+		r.mu.Unlock()
+		time.Sleep(wait)
+		if _, err := in.Write(buf[:n]); err != nil {
+			return
+		}
+		rest = r.note(append(rest, buf[:n]...))
+	}
+}
+
+// note logs the lines that are complete and returns the rest.
+func (r *Relay) note(b []byte) []byte {
+	for {
+		i := bytes.IndexByte(b, '\n')
+		if i < 0 {
+			return b
+		}
+		line := b[:i]
+		b = b[i+1:]
+		var l view.Line
+		if len(line) == 0 || line[0] != '{' || json.Unmarshal(line, &l) != nil {
+			continue // heads and chunk sizes
+		}
+		r.told(l)
+	}
+}
+
+func (r *Relay) told(l view.Line) {
+	add := func(box, state string) {
+		r.Log.Add(audit.Entry{Side: "relay", Who: box, What: audit.Told, Edge: strconv.Itoa(r.Edge), Text: state})
+	}
+	listed := map[string]bool{}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, b := range l.Boxes {
+		listed[b.ID], r.boxes[b.ID] = true, true
+		add(b.ID, string(b.State))
+	}
+	if !l.Whole {
+		return
+	}
+	for id := range r.boxes { // what a whole view does not name is gone
+		if !listed[id] {
+			add(id, string(view.Gone))
+		}
+	}
+}
