A quote inside an unquoted attribute is refused: it broke the tag it was written into

Found by FuzzPlaylist after 14 s: EXT-X-KEY with URI=?" was rewritten into a line no parser takes. The parser now refuses it; the input stays as a case.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -88,7 +88,11 @@
 	}
 	close(e.done)
 }
-func (e *ear) Rung(r int) { e.mu.Lock(); e.heard = append(e.heard, fmt.Sprint("rung ", r)); e.mu.Unlock() }
+func (e *ear) Rung(r int) {
+	e.mu.Lock()
+	e.heard = append(e.heard, fmt.Sprint("rung ", r))
+	e.mu.Unlock()
+}
 func (e *ear) Ended(o control.Outcome, moved bool) {
 	e.mu.Lock()
 	e.heard = append(e.heard, fmt.Sprint("ended ", Name(o), " ", moved))
--- a/internal/hls/parse.go
+++ b/internal/hls/parse.go
@@ -250,6 +250,9 @@
 			end = len(s)
 		}
 		value := s[:end]
+		if !strings.HasPrefix(value, `"`) && strings.Contains(value, `"`) { // would close the quotes that it is written in
+			return nil, fmt.Errorf("attribute %s: quote inside a value", name)
+		}
 		if s = s[end:]; s != "" {
 			if s[0] != ',' || len(s) == 1 {
 				return nil, fmt.Errorf("attribute list malformed after %s", name)
