--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -105,12 +106,11 @@
 // Exchange is one request with the answer that is being made for it.
 type Exchange struct {
 	Request
-	conn   net.Conn
+	conn   *serverConn
 	r      *bufio.Reader
 	head   []byte
 	status int
 	Out    []byte // the answer's body
-	peek   chan struct{}
 }
 
 // Remote is the peer's address.
@@ -133,6 +133,7 @@
 // stop must be called before the handler returns.
 func (x *Exchange) Watch() (gone <-chan struct{}, stop func()) {
 	left, over := make(chan struct{}), make(chan struct{})
+	x.conn.readBy = deadline{}
 	_ = x.conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(over)
@@ -222,14 +223,41 @@
 	Log    *slog.Logger
 
 	mu    sync.Mutex
-	conns map[net.Conn]bool // true while a request is being answered
-	done  bool
+	conns map[*serverConn]struct{}
+	done  atomic.Bool
 	wg    sync.WaitGroup
 }
 
+// serverConn is one connection. Its state tells the end of the server which connections may be closed
+// at once: a connection is either idle, or a request on it is being answered, or it was closed while idle.
+type serverConn struct {
+	net.Conn
+	state   atomic.Int32
+	readBy  deadline
+	writeBy deadline
+}
+
+const (
+	idle int32 = iota
+	busy
+	shut
+)
+
+// deadline is one that is set anew only when much of it has gone: setting it costs more than a small
+// request is worth, and a wait that is a quarter shorter than its limit harms nobody.
+type deadline struct{ at time.Time }
+
+func (d *deadline) due(now time.Time, limit time.Duration) (time.Time, bool) {
+	if left := d.at.Sub(now); left > limit-limit/4 && left <= limit {
+		return d.at, false
+	}
+	d.at = now.Add(limit)
+	return d.at, true
+}
+
 // Serve accepts until ctx ends, then lets requests under way finish, for grace at most.
 func (s *Server) Serve(ctx context.Context, ln net.Listener, grace time.Duration) error {
-	s.conns = map[net.Conn]bool{}
+	s.conns = map[*serverConn]struct{}{}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	var err error
@@ -253,20 +281,21 @@
 func (s *Server) add(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.done || s.Conns > 0 && len(s.conns) >= s.Conns {
+	if s.done.Load() || s.Conns > 0 && len(s.conns) >= s.Conns {
 		return false
 	}
-	s.conns[c] = false
+	sc := &serverConn{Conn: c}
+	s.conns[sc] = struct{}{}
 	s.wg.Add(1)
-	go s.serve(c)
+	go s.serve(sc)
 	return true
 }
 
 func (s *Server) drain(grace time.Duration) {
+	s.done.Store(true)
 	s.mu.Lock()
-	s.done = true
-	for c, busy := range s.conns {
-		if !busy {
+	for c := range s.conns {
+		if c.state.CompareAndSwap(idle, shut) {
 			_ = c.Close()
 		}
 	}
@@ -288,15 +317,7 @@
 	<-over
 }
 
-// busy marks a connection; false means that the server ends and the connection with it.
-func (s *Server) busy(c net.Conn, b bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[c] = b
-	return !s.done || b
-}
-
-func (s *Server) serve(c net.Conn) {
+func (s *Server) serve(c *serverConn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer func() {
 		cancel()
@@ -309,37 +330,46 @@
 	x := &Exchange{conn: c, r: bufio.NewReaderSize(c, s.Limits.Line)}
 	var out []byte
 	for {
-		_ = c.SetReadDeadline(time.Now().Add(s.Limits.IdleFor))
-		if _, err := x.r.Peek(1); err != nil {
-			return
+		now := time.Now()
+		if at, anew := c.readBy.due(now, s.Limits.IdleFor); anew {
+			_ = c.SetReadDeadline(at)
 		}
-		if !s.busy(c, true) {
+		if _, err := x.r.Peek(1); err != nil || !c.state.CompareAndSwap(idle, busy) {
 			return
 		}
-		_ = c.SetReadDeadline(time.Now().Add(s.Limits.HeadFor))
-		err := x.read(x.r, s.Limits)
-		if err == nil {
-			err = s.body(x)
-		}
-		if err != nil {
+		if err := s.read(c, x); err != nil {
 			s.refuse(c, x, err)
 			return
 		}
 		s.answer(ctx, x)
-		s.mu.Lock()
-		end := x.Close || s.done
-		s.mu.Unlock()
+		end := x.Close || s.done.Load()
 		out = appendAnswer(out[:0], x.status, x.head, x.Out, end, string(x.Method) == "HEAD")
-		_ = c.SetWriteDeadline(time.Now().Add(s.Limits.SendFor))
+		if at, anew := c.writeBy.due(now, s.Limits.SendFor); anew {
+			_ = c.SetWriteDeadline(at)
+		}
 		if _, err := c.Write(out); err != nil || end {
 			return
 		}
-		if !s.busy(c, false) {
+		c.state.Store(idle)
+		if s.done.Load() { // the end may have passed this connection by while it was busy
 			return
 		}
 	}
 }
 
+// read takes a request off the connection. One whose head is here already needs no time limit of its own.
+func (s *Server) read(c *serverConn, x *Exchange) error {
+	here, _ := x.r.Peek(x.r.Buffered())
+	if !bytes.Contains(here, []byte("\r\n\r\n")) {
+		c.readBy = deadline{}
+		_ = c.SetReadDeadline(time.Now().Add(s.Limits.HeadFor))
+	}
+	if err := x.read(x.r, s.Limits); err != nil {
+		return err
+	}
+	return s.body(c, x)
+}
+
 // answer calls the handler; one that panics costs its own request only.
 func (s *Server) answer(ctx context.Context, x *Exchange) {
 	x.status = 0
@@ -356,7 +386,7 @@
 	s.Handle(ctx, x)
 }
 
-func (s *Server) body(x *Exchange) (err error) {
+func (s *Server) body(c *serverConn, x *Exchange) (err error) {
 	x.Body = x.Body[:0]
 	if !x.chunked && x.length == 0 {
 		return nil
@@ -366,14 +396,15 @@
 			return err
 		}
 	}
-	_ = x.conn.SetReadDeadline(time.Now().Add(s.Limits.BodyFor))
+	c.readBy = deadline{}
+	_ = c.SetReadDeadline(time.Now().Add(s.Limits.BodyFor))
 	x.Body, err = x.readBody(x.Body, x.r, s.Limits)
 	return err
 }
 
 // refuse answers a message that cannot be read, and the connection ends: what follows on it can
 // no longer be told apart.
-func (s *Server) refuse(c net.Conn, x *Exchange, err error) {
+func (s *Server) refuse(c *serverConn, x *Exchange, err error) {
 	var e *Error
 	var late net.Error
 	switch {
@@ -391,7 +422,7 @@
 	if _, err := c.Write(appendAnswer(nil, e.Status, []byte("Content-Type: text/plain\r\n"), body, true, false)); err != nil {
 		return
 	}
-	if t, ok := c.(*net.TCPConn); ok { // let the answer out before unread input resets the connection
+	if t, ok := c.Conn.(*net.TCPConn); ok { // let the answer out before unread input resets the connection
 		_ = t.CloseWrite()
 		_ = c.SetReadDeadline(time.Now().Add(250 * time.Millisecond))
 		_, _ = io.CopyN(io.Discard, c, 64<<10)
