--- a/internal/scenario/fault.go
+++ b/internal/scenario/fault.go
@@ -47,10 +47,10 @@
 		p := r.procs[len(r.procs)-1]
 		p.end(syscall.SIGKILL, time.Second)
 		return func() { _ = p.start() }
-	case "late_list", "cut_zone":
+	case "late_list", "cut_planner":
 		set := func(on bool) {
 			for _, x := range r.relays {
-				if f.Kind == "cut_zone" {
+				if f.Kind == "cut_planner" {
 					x.Cut(on)
 				} else if on {
 					x.SetDelay(time.Duration(f.Size * float64(time.Second)))
@@ -61,6 +61,10 @@
 		}
 		set(true)
 		return func() { set(false) }
+	case "cut_zone":
+		zone := rnd.IntN(len(r.Site.Zones))
+		r.fleet.CutZone(zone)
+		return func() { r.fleet.CutZone(-1) }
 	case "weak_uplink":
 		racks := some(rnd, r.Site.Racks, f.Part)
 		for _, k := range racks {
@@ -118,6 +122,18 @@
 	case "crash":
 		each((*standin.Box).Crash)
 		return func() { each(func(b *standin.Box) { _ = b.Return() }) }
+	case "vanish":
+		each(func(b *standin.Box) { b.Set(func(x *standin.Faults) { x.Hang = true }) })
+		return func() {
+			each(func(b *standin.Box) {
+				b.Crash()
+				_ = b.Return()
+			})
+		}
+	case "reset":
+		return set(func(x *standin.Faults) { x.Reset = f.Size }, func(x *standin.Faults) { x.Reset = 0 })
+	case "false_health":
+		return set(func(x *standin.Faults) { x.Hang, x.Lies = true, true }, func(x *standin.Faults) { x.Hang, x.Lies = false, false })
 	case "hang":
 		return set(func(x *standin.Faults) { x.Hang = true }, func(x *standin.Faults) { x.Hang = false })
 	case "answer_lost":
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,120 @@
+package scenario
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"rainpulley/internal/cli"
+	"rainpulley/internal/config"
+)
+
+// TestMain is also the programs that a run starts: this test binary, with "edge" or "planner" first.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && (os.Args[1] == "edge" || os.Args[1] == "planner") {
+		var c struct {
+			Edge    cli.Edge    `cmd:""`
+			Planner cli.Planner `cmd:""`
+		}
+		k, err := kong.New(&c)
+		if err != nil {
+			panic(err)
+		}
+		x, err := k.Parse(os.Args[1:])
+		k.FatalIfErrorf(err)
+		k.FatalIfErrorf(x.Run())
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// day plays a short script through real processes, and wants every rule kept.
+func day(t *testing.T, text string) *Result {
+	t.Helper()
+	s, err := Parse(t.Name(), text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	r, err := Start(ctx, Options{Script: s, Seed: 3, Policy: "module", Command: []string{os.Args[0]}, Dir: t.TempDir()})
+	if err != nil {
+		if r != nil {
+			r.Stop()
+		}
+		t.Fatal(err)
+	}
+	r.Play(ctx)
+	r.Stop()
+	out := r.Result()
+	if len(out.Broken) > 0 || out.Doubles > 0 || out.Overlaps > 0 || len(out.Bad) > 0 {
+		t.Errorf("%+v, players %v", out.Verdict, out.Bad)
+	}
+	if out.Sessions < 20 || out.Delivered <= 0 || out.Verdict.Checks["no session lost"] < out.Sessions {
+		t.Errorf("%d sessions, %.0f worth, checks %v", out.Sessions, out.Delivered, out.Verdict.Checks)
+	}
+	return out
+}
+
+// A short bad day with kill -9 of edges and planner keeps every rule.
+func TestShortBadDay(t *testing.T) {
+	out := day(t, `{ length: '8s', rate: 12, boxes: 8, edges: 2, faults: [
+		{ kind: 'crash', at: '1s', 'for': '2s', part: 0.2 }, { kind: 'answer_lost', at: '1s', 'for': '4s', part: 0.3, size: 0.6 },
+		{ kind: 'kill_edge', at: '2s', 'for': '1s', part: 0.5 }, { kind: 'kill_planner', at: '3s', 'for': '2s' },
+		{ kind: 'drain', at: '3s', 'for': '3s', part: 0.2 }, { kind: 'false_health', at: '4s', 'for': '2s', part: 0.2 },
+		{ kind: 'reset', at: '5s', 'for': '2s', part: 0.2, size: 0.5 }, { kind: 'cut_zone', at: '5s', 'for': '2s' }] }`)
+	if out.Faults != 8 || out.Verdict.Checks["drains kept"] == 0 {
+		t.Errorf("%d faults, checks %v", out.Faults, out.Verdict.Checks)
+	}
+}
+
+// Every script that comes with the program can be read, and every kind of fault has a way to be caused.
+func TestScripts(t *testing.T) {
+	used := map[string]bool{}
+	for _, n := range Names() {
+		s, err := Load(n)
+		if err != nil || s.About == "" {
+			t.Errorf("%s: %v", n, err)
+			continue
+		}
+		for _, f := range s.Faults {
+			used[f.Kind] = true
+		}
+	}
+	for k := range kinds {
+		if !used[k] {
+			t.Errorf("no script has %s", k)
+		}
+	}
+	for _, c := range []struct{ text, want string }{
+		{`{ faults: [{ kind: 'x' }] }`, "faults[0].kind"}, {`{ length: 5 }`, "unit"}, {`{ lenght: '5s' }`, "lenght"}, {`{ boxes: 1 }`, "boxes"},
+		{`{ faults: [{ kind: 'drain', part: 2 }] }`, "part"}, {`{`, "x:1"},
+	} {
+		if _, err := Parse("x", c.text); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %s", c.text, err, c.want)
+		}
+	}
+}
+
+// The site that a run makes is one that the programs take, and reads back the same.
+func TestSite(t *testing.T) {
+	s, err := Load("quiet")
+	if err != nil {
+		t.Fatal(err)
+	}
+	site, err := makeSite(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path, err := writeSite(t.TempDir(), site)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := config.Load(path, nil); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/scenario/scripts/lost-planner.jsonnet
+++ b/internal/scenario/scripts/lost-planner.jsonnet
@@ -8,5 +8,6 @@
     fault('crash', '5s', '5s', part=0.15, size=0),
     fault('drain', '6s', '9s', part=0.15, size=0),
     fault('late_list', '12s', '5s', part=0, size=2),
+    fault('cut_planner', '14s', '3s'),
   ],
 }
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,7 @@
 	rnd     *rand.Rand
 	uplinks []float64 // kB/s that each rack's uplink gives
 	weak    []float64 // divides an uplink
+	cut     int       // zone that is cut off from the others; -1: none
 	ctx     context.Context
 	wait    sync.WaitGroup
 }
@@ -60,7 +62,9 @@
 // Faults of a box, set by the script.
 type Faults struct {
 	Hang       bool    // takes what comes, answers nothing
+	Lies       bool    // with Hang: health checks are answered all the same
 	AnswerLost float64 // share of set-ups that run and whose answer is lost
+	Reset      float64 // share of set-ups that end in a reset, half of them having run
 	Refuse     bool    // turns set-ups away as full
 	Slow       float64 // divides its link; 0: as it is
 	NoteDelay  time.Duration
@@ -89,7 +93,7 @@
 
 // NewFleet makes the boxes of a site, not yet serving.
 func NewFleet(site *config.Site, log *audit.Log, seed uint64) *Fleet {
-	f := &Fleet{Site: site, Log: log, Scale: 200, Setup: 20 * time.Millisecond, rnd: rand.New(rand.NewPCG(seed, 7))}
+	f := &Fleet{Site: site, Log: log, Scale: 200, Setup: 20 * time.Millisecond, rnd: rand.New(rand.NewPCG(seed, 7)), cut: -1}
 	for range site.Racks {
 		spread := 1 + 0.2*(2*f.rnd.Float64()-1)
 		f.uplinks, f.weak = append(f.uplinks, float64(site.Links.Uplink)*spread), append(f.weak, 1)
@@ -211,6 +215,27 @@
 	f.weak[rack] = by
 }
 
+// CutZone lets nothing through between a zone and the others, in either direction; -1 ends it.
+func (f *Fleet) CutZone(zone int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = zone
+}
+
+// away tells that nothing comes through from an edge: it stands on the other side of a cut.
+func (b *Box) away(edge string) bool {
+	if b.fleet.cut < 0 {
+		return false
+	}
+	position, _, _ := strings.Cut(edge, ".")
+	n, err := strconv.Atoi(position)
+	if err != nil || n < 0 || n >= len(b.fleet.Site.Edges) {
+		return false
+	}
+	zone := b.fleet.Site.Zone(b.fleet.Site.Edges[n].Zone)
+	return (zone == b.fleet.cut) != (b.Zone == b.fleet.cut)
+}
+
 // Sessions is how many a box runs.
 func (b *Box) Sessions() int {
 	b.fleet.mu.Lock()
@@ -305,6 +330,9 @@
 			}
 			continue
 		}
+		if b.away(name) {
+			continue
+		}
 		if second {
 			b.send(e, "{}", 0)
 		}
@@ -324,6 +352,7 @@
 			}
 			b.frozen[name] = full
 			b.send(e, fmt.Sprintf(`{"s":%q,"k":3,"x":%.4f}`, h.id, full), b.noteDelay())
+			b.send(e, fmt.Sprintf(`{"s":%q,"k":4,"x":%.4f}`, h.id, b.fleet.uplinkFull(b.rack)), b.noteDelay())
 		}
 	}
 	if second {
@@ -360,7 +389,7 @@
 func (b *Box) events(w http.ResponseWriter, r *http.Request) {
 	f, edge := b.fleet, r.URL.Query().Get("edge")
 	f.mu.Lock()
-	if b.fault.Hang {
+	if b.fault.Hang || b.away(edge) {
 		f.mu.Unlock()
 		<-r.Context().Done()
 		return
@@ -402,7 +431,7 @@
 
 func (b *Box) health(w http.ResponseWriter, r *http.Request) {
 	b.fleet.mu.Lock()
-	hang, state, boot, started := b.fault.Hang, b.state, b.boot, b.started.UnixMilli()
+	hang, state, boot, started := b.fault.Hang && !b.fault.Lies, b.state, b.boot, b.started.UnixMilli()
 	b.load(w)
 	b.fleet.mu.Unlock()
 	if hang {
@@ -414,7 +443,8 @@
 
 // load reports in the answer, as CMSD (CTA-5006) with keys of the project's own.
 func (b *Box) load(w http.ResponseWriter) {
-	w.Header().Set("CMSD-Dynamic", fmt.Sprintf(`"box";example.rainpulley-streams=%d;example.rainpulley-link=%.4f`, len(b.held), b.full))
+	w.Header().Set("CMSD-Dynamic", fmt.Sprintf(`"box";example.rainpulley-streams=%d;example.rainpulley-link=%.4f;example.rainpulley-uplink=%.4f`,
+		len(b.held), b.full, b.fleet.uplinkFull(b.rack)))
 }
 
 // setUp takes an attempt, in the order: hang, cold push, draining, full, set-up time, run.
@@ -443,10 +473,16 @@
 		http.Error(w, why, http.StatusServiceUnavailable)
 	}
 	f.mu.Lock()
-	b.push()
-	fault, up := b.fault, b.up
+	fault := b.fault
+	if away := b.away(h.edge); away {
+		fault.Hang = true
+	} else {
+		b.push()
+	}
+	up := b.up
 	reason := b.turnsAway()
 	setup := f.Setup + fault.SetUp
+	before := f.rnd.Float64() < fault.Reset/2
 	b.load(w)
 	f.mu.Unlock()
 	switch {
@@ -460,6 +496,9 @@
 	case reason != "":
 		never(reason)
 		return
+	case before:
+		over("reset")
+		panic(http.ErrAbortHandler)
 	}
 	select {
 	case <-r.Context().Done():
@@ -480,10 +519,14 @@
 	}
 	b.held[h.id] = h
 	f.Log.Add(b.entry(audit.SetupRan, h))
-	lost := f.rnd.Float64() < fault.AnswerLost
+	lost, reset := f.rnd.Float64() < fault.AnswerLost, f.rnd.Float64() < fault.Reset/2
 	b.load(w)
 	f.mu.Unlock()
-	if lost {
+	switch {
+	case reset:
+		over("reset")
+		panic(http.ErrAbortHandler)
+	case lost:
 		<-r.Context().Done()
 		over("closed")
 		return
