--- /dev/null
+++ b/internal/planner/watch_test.go
@@ -0,0 +1,105 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rainpulley/internal/view"
+)
+
+func TestWatch(t *testing.T) {
+	start := time.UnixMilli(5000)
+	ok := Check{Answered: true, Boot: "one", Started: start}
+	w := NewWatch(2, 100)
+	w.Add(view.Box{ID: "a"})
+	w.Add(view.Box{ID: "b"})
+	state := func(id string) (view.State, int64) {
+		v, _ := w.View()
+		for _, b := range v.Boxes {
+			if b.ID == id {
+				return b.State, b.Started
+			}
+		}
+		return view.Gone, 0
+	}
+	w.Saw("a", ok)
+	if w.Settled() {
+		t.Error("settled before b was heard of or missed")
+	}
+	w.Saw("b", Check{})
+	w.Saw("b", Check{})
+	if s, _ := state("a"); !w.Settled() || s != view.Ready {
+		t.Error("not settled, or a not ready")
+	}
+	w.Saw("a", Check{})
+	if s, _ := state("a"); s != view.Ready {
+		t.Error("gone after one check missed")
+	}
+	w.Saw("a", Check{})
+	if s, _ := state("a"); s != view.Gone {
+		t.Error("not gone after two")
+	}
+	again := Check{Answered: true, Boot: "two", Started: time.UnixMilli(9000)}
+	w.Saw("a", again)
+	if s, at := state("a"); s != view.Ready || at != 9000 {
+		t.Errorf("back as %s, started %d", s, at)
+	}
+	again.Started = time.UnixMilli(9500) // a clock that was set is no restart
+	w.Saw("a", again)
+	if _, at := state("a"); at != 9000 {
+		t.Errorf("started %d without a restart", at)
+	}
+	w.Drain("a", true)
+	w.Saw("a", again)
+	if s, _ := state("a"); s != view.Draining {
+		t.Error("an operator's drain was forgotten")
+	}
+	w.Drain("a", false)
+	again.Draining = true
+	w.Saw("a", again)
+	if s, _ := state("a"); s != view.Draining {
+		t.Error("the box's own drain was forgotten")
+	}
+	if w.Drain("nobody", true) {
+		t.Error("drained nobody")
+	}
+}
+
+// Versions rise by one with each change and only then; a follower of the lines has the same view.
+func TestWatchProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := NewWatch(2, 7)
+		ids := []string{"a", "b", "c"}
+		for _, id := range ids {
+			w.Add(view.Box{ID: id})
+		}
+		follower := view.View{Version: 7}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				w.Drain(id, rapid.Bool().Draw(t, "on"))
+			case 1:
+				w.SetTitle(view.Title{Name: "t", Span: rapid.IntRange(0, 2).Draw(t, "span")})
+			default:
+				w.Saw(id, Check{Answered: rapid.Bool().Draw(t, "answered"), Draining: rapid.Bool().Draw(t, "draining"),
+					Boot: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "boot"), Started: time.UnixMilli(rapid.Int64Range(1, 9).Draw(t, "started"))})
+			}
+			before := w.last
+			v, changed := w.View()
+			if !changed {
+				if v.Version != follower.Version {
+					t.Fatal("version rose without a change")
+				}
+				continue
+			}
+			next, _, err := view.Apply(follower, view.Diff(before, v))
+			if err != nil || next.Version != v.Version || v.Version != follower.Version+1 || len(next.Boxes) != len(v.Boxes) {
+				t.Fatalf("%v: %+v, want %+v", err, next, v)
+			}
+			follower = next
+		}
+	})
+}
--- /dev/null
+++ b/internal/view/view_test.go
@@ -0,0 +1,89 @@
+package view
+
+import (
+	"encoding/json"
+	"errors"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func draw(t *rapid.T, name string) View {
+	var v View
+	for _, id := range []string{"a:1", "b:1", "c:1", "d:1"} {
+		if rapid.Bool().Draw(t, name+id) {
+			v.Boxes = append(v.Boxes, Box{ID: id, Zone: "z", Kind: "k", State: rapid.SampledFrom([]State{Ready, Draining}).Draw(t, "state"),
+				Cell: rapid.IntRange(0, 2).Draw(t, "cell"), Started: rapid.Int64Range(0, 2).Draw(t, "started")})
+		}
+	}
+	for _, n := range []string{"t", "u"} {
+		if rapid.Bool().Draw(t, name+n) {
+			v.Titles = append(v.Titles, Title{Name: n, Span: rapid.IntRange(1, 2).Draw(t, "span")})
+		}
+	}
+	return v
+}
+
+// Changes, sent as lines, lead from any view to any other; the old one is not touched.
+func TestDiffApply(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := draw(t, "from"), draw(t, "to")
+		from.Version, to.Version = 5, 6
+		b, err := json.Marshal(Diff(from, to))
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := Decode(b)
+		if err != nil {
+			t.Fatalf("%s: %v", b, err)
+		}
+		before, _ := json.Marshal(from)
+		got, changed, err := Apply(from, l)
+		if err != nil || !changed {
+			t.Fatal(err)
+		}
+		x, _ := json.Marshal(got)
+		y, _ := json.Marshal(to)
+		var a, c View
+		_ = json.Unmarshal(x, &a)
+		_ = json.Unmarshal(y, &c)
+		if len(a.Boxes)+len(c.Boxes) > 0 && !reflect.DeepEqual(a.Boxes, c.Boxes) || len(a.Titles)+len(c.Titles) > 0 && !reflect.DeepEqual(a.Titles, c.Titles) {
+			t.Fatalf("%s -> %s, want %s", b, x, y)
+		}
+		if after, _ := json.Marshal(from); string(before) != string(after) {
+			t.Fatal("the view before was changed")
+		}
+	})
+}
+
+func TestLinesOutOfOrder(t *testing.T) {
+	v := View{Version: 5}
+	for _, c := range []struct {
+		line string
+		want error
+	}{{`{"v":5}`, nil}, {`{"v":6}`, ErrGap}, {`{"v":4}`, ErrGap}, {`{"v":7,"base":6}`, ErrGap}, {`{"v":5,"base":5}`, ErrGap}, {`{"v":3,"whole":true}`, nil}} {
+		l, err := Decode([]byte(c.line))
+		if err == nil {
+			_, _, err = Apply(v, l)
+		}
+		if !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.line, err, c.want)
+		}
+	}
+	for _, bad := range []string{"", "{", `{"w":1}`, `{"v":1,"boxes":[{"id":"a","state":"ready","cell":0}]}`, `{"v":1,"whole":true,"boxes":[{"id":"a","state":"?"}]}`,
+		`{"v":1,"whole":true,"boxes":[{"id":"a","state":"ready","cell":-1}]}`, `{"v":1,"whole":true,"titles":[{"name":"t","span":0}]}`} {
+		if _, err := Decode([]byte(bad)); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"v":1,"whole":true,"boxes":[{"id":"a","state":"ready","cell":1}],"titles":[{"name":"t","span":1}]}`))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		if l, err := Decode(b); err == nil {
+			_, _, _ = Apply(View{Version: 1}, l)
+		}
+	})
+}
