CMCD's top bit rate limits the rung; budget, cold box and bad connections as tests

Need: CMCD keys were read for the session id only, and three hard cases had no test. tb (kbit/s) gives the highest rung; a spent attempt budget, a cold box under three edges and a flood of bad connections are caused and judged.

--- a/cmd/rainpulley/main.go
+++ b/cmd/rainpulley/main.go
@@ -237,9 +237,12 @@
 		}
 		return nil, err
 	}
+	if serve {
+		fmt.Printf("open in a player: %s\n", r.Address())
+	}
 	r.Play(ctx)
 	if serve && ctx.Err() == nil {
-		fmt.Fprintf(os.Stderr, "\nserving until interrupted; open in a player: %s\n", r.Address())
+		fmt.Println("the day is over; serving until interrupted")
 		<-ctx.Done()
 	}
 	r.Stop()
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -48,6 +48,9 @@
 	if k.Top != nil {
 		c.Top = *k.Top
 	}
+	if c.RateFactor <= 0 {
+		c.RateFactor = 1
+	}
 	switch k.Effect {
 	case "paid":
 		c.Effect = control.AtMostOnce
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -271,6 +271,9 @@
 		}()
 	}
 	work.Wait()
+	if code, body := w.get("http://" + w.site.Edges[0].Listen + "/play/clip/index.m3u8?CMCD=tb%3D3000%2Csid%3D%22cmcd-1%22"); code != 200 || !strings.Contains(body, "/cmcd-1/0/") {
+		t.Errorf("CMCD: %d %s", code, body)
+	}
 	_, manifest := w.play(0, "class=paid&key=same")
 	w.get(w.media(0, manifest))
 	if n := w.count(audit.SetupArrived, "paid"); n != 1 {
@@ -576,3 +579,112 @@
 	}
 	w.judge()
 }
+
+// The attempt budget is spent: set-ups that end in a reset are not sent again beyond it.
+func TestBudgetSpent(t *testing.T) {
+	w := newWorld(t, 3, 1, func(s *config.Site) {
+		s.Rules.BudgetSpan, s.Rules.BudgetFree, s.Rules.BudgetShare = sec(10), 3, 0.1
+	})
+	w.startEdge(0, 3)
+	for _, b := range w.fleet.Boxes {
+		b.Set(func(f *standin.Faults) { f.Reset = 2 })
+	}
+	for i := range 20 {
+		if code, _ := w.play(0, fmt.Sprint("key=k", i)); code != 503 {
+			t.Errorf("%d", code)
+		}
+	}
+	if further := w.count(audit.SetupArrived, "") - 20; further > 5 {
+		t.Errorf("%d further attempts", further)
+	}
+	w.judgeWithViewers(20)
+}
+
+// judgeWithViewers also gives the audit the requests, which these tests' viewers do not log.
+func (w *world) judgeWithViewers(requests int) {
+	w.t.Helper()
+	entries := w.log.Entries()
+	for i := range requests {
+		q := audit.Entry{Side: "viewer", What: audit.Asked, Session: fmt.Sprint("q", i), Edge: "0", Value: 4}
+		entries = append(entries, q)
+		q.What = audit.Answered
+		entries = append(entries, q)
+	}
+	v := audit.Judge(w.site, entries)
+	for _, b := range v.Breaches {
+		w.t.Errorf("%+v", b)
+	}
+	if w.site.Rules.BudgetSpan > 0 && v.Checks[audit.BudgetKept] == 0 {
+		w.t.Error("no further attempt was checked")
+	}
+}
+
+// A box comes back cold while all edges are full of work for it: it is not pushed over.
+func TestColdBoxUnderAllEdges(t *testing.T) {
+	w := newWorld(t, 2, 3, func(s *config.Site) { s.Rules.Ramp = sec(4) })
+	for i := range 3 {
+		w.startEdge(i, 2)
+	}
+	w.fleet.Boxes[0].Crash()
+	w.until("all know that it is gone", func() bool {
+		return strings.Contains(w.status(0)+w.status(1)+w.status(2), `"boxes":1,`)
+	})
+	if err := w.fleet.Boxes[0].Return(); err != nil {
+		t.Fatal(err)
+	}
+	var work sync.WaitGroup
+	for i := range 120 {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			time.Sleep(time.Duration(i*20) * time.Millisecond)
+			w.play(i%3, fmt.Sprint("key=c", i))
+		}()
+	}
+	work.Wait()
+	cold := 0
+	for _, e := range w.log.Entries() {
+		if e.What == audit.SetupArrived && e.Who == w.fleet.Boxes[0].Addr {
+			cold++
+		}
+	}
+	if cold == 0 {
+		t.Error("the cold box got no work at all")
+	}
+	w.judge()
+}
+
+// A flood of bad connections costs no descriptor and no session of another.
+func TestBadConnectionsLeaveNothing(t *testing.T) {
+	w := newWorld(t, 2, 1, nil)
+	w.startEdge(0, 2)
+	_, manifest := w.play(0, "key=good")
+	uri := w.media(0, manifest)
+	open := func() int {
+		l, err := os.ReadDir("/proc/self/fd")
+		if err != nil {
+			t.Skip("no /proc here")
+		}
+		return len(l)
+	}
+	before := open()
+	for i, text := range []string{"", "x", "GET / HTTP/1.1\r\nHost: a\r\n b\r\n\r\n", "GET /" + strings.Repeat("a", 20000), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n",
+		"GET /s/play/clip/good/0/media.m3u8 HTTP/1.1\r\nHost: a\r\n\r\n", "GET /play/clip/index.m3u8?key=" + strings.Repeat("k", 65) + " HTTP/1.1\r\nHost: a\r\n\r\n"} {
+		for range 20 {
+			c, err := net.Dial("tcp", w.site.Edges[0].Listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(c, text)
+			if i%2 == 0 {
+				_ = c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+				_, _ = io.Copy(io.Discard, c)
+			}
+			_ = c.Close()
+		}
+	}
+	if code, list := w.get(uri); code != 200 {
+		t.Errorf("%d %s", code, list)
+	}
+	w.until("descriptors are closed", func() bool { return open() <= before+4 })
+}
--- a/internal/edge/handle.go
+++ b/internal/edge/handle.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -61,16 +62,21 @@
 	}
 	ask, err := e.asked(x, rest)
 	if err != nil {
-		code := 400
-		if err == errUnknownTitle {
-			code = 404
-		}
-		e.no(x, code, err.Error())
+		e.badAsk(x, err)
 		return
 	}
 	e.serve(ctx, x, ask, join.Play)
 }
 
+// badAsk answers a request that asks for what there is not.
+func (e *Edge) badAsk(x *http1.Exchange, err error) {
+	code := 400
+	if errors.Is(err, errUnknownTitle) {
+		code = 404
+	}
+	e.no(x, code, err.Error())
+}
+
 // ask is what a request wants.
 type ask struct {
 	name     []byte // class/title/key
@@ -92,7 +98,7 @@
 		return a, fmt.Errorf("no such class")
 	}
 	class := &e.set.Classes[a.class]
-	a.best = class.Top
+	a.best = e.canUse(a.class, cmcd(x, "cmcd-object", "tb"))
 	if v := x.Param("best"); v != nil {
 		n, err := strconv.Atoi(string(v))
 		if err != nil || n < 0 {
@@ -133,18 +139,37 @@
 	if v := x.Get("rainpulley-key"); v != nil {
 		return string(v)
 	}
-	text := string(x.Get("cmcd-session"))
+	return strings.Trim(cmcd(x, "cmcd-session", "sid"), `"`)
+}
+
+// cmcd is a key of the player's own word (CTA-5004), by query or header; "" if it was not sent.
+func cmcd(x *http1.Exchange, header, key string) string {
+	text := string(x.Get(header))
 	if v := x.Param("CMCD"); v != nil {
 		text = unescape(string(v))
 	}
 	for _, part := range strings.Split(text, ",") {
-		if sid, ok := strings.CutPrefix(strings.TrimSpace(part), "sid="); ok {
-			return strings.Trim(sid, `"`)
+		if v, ok := strings.CutPrefix(strings.TrimSpace(part), key+"="); ok {
+			return v
 		}
 	}
 	return ""
 }
 
+// canUse is the highest rung that a player which says its top bit rate (CMCD tb, in kbit/s) can use.
+func (e *Edge) canUse(class int, tb string) int {
+	k := &e.set.Classes[class]
+	best := k.Top
+	kbit, err := strconv.ParseFloat(tb, 64)
+	if err != nil {
+		return best
+	}
+	for best > k.Floor && e.set.Ladder[best]*k.RateFactor*8 > kbit {
+		best--
+	}
+	return best
+}
+
 func unescape(s string) string {
 	r := strings.NewReplacer("%2C", ",", "%2c", ",", "%3D", "=", "%3d", "=", "%22", `"`, "%20", " ")
 	return r.Replace(s)
@@ -177,11 +202,7 @@
 	}
 	a, err := e.reloadAsked(name, rest)
 	if err != nil {
-		code := 400
-		if err == errUnknownTitle {
-			code = 404
-		}
-		e.no(x, code, err.Error())
+		e.badAsk(x, err)
 		return
 	}
 	e.serve(ctx, x, a, join.Reload)
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -225,7 +225,7 @@
 		title = len(r.Site.Titles) - 1
 	}
 	v.Title = r.Site.Titles[title].Name
-	v.Length = time.Duration((meanLength + lengthSpread*(2*r.rnd.Float64()-1)) * float64(time.Second))
+	v.Length = time.Duration((meanLength + lengthSpread*(2*r.rnd.Float64()-1)) * float64(time.Second) / r.Speed)
 	first := r.rnd.IntN(len(r.Site.Edges))
 	for i := range r.Site.Edges {
 		n := (first + i) % len(r.Site.Edges)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -133,36 +133,38 @@
 // Diff is the line that leads from one view to a later one.
 func Diff(from, to View) Line {
 	l := Line{Version: to.Version, Base: from.Version}
-	old := map[string]Box{}
-	for _, b := range from.Boxes {
-		old[b.ID] = b
+	id := func(b Box) string { return b.ID }
+	var gone []Box
+	l.Boxes, gone = changes(from.Boxes, to.Boxes, id)
+	for _, b := range gone {
+		b.State = Gone
+		l.Boxes = append(l.Boxes, b)
 	}
-	for _, b := range to.Boxes {
-		if o, ok := old[b.ID]; !ok || o != b {
-			l.Boxes = append(l.Boxes, b)
-		}
-		delete(old, b.ID)
-	}
-	for _, b := range from.Boxes {
-		if _, left := old[b.ID]; left {
-			b.State = Gone
-			l.Boxes = append(l.Boxes, b)
-		}
+	name := func(t Title) string { return t.Name }
+	var removed []Title
+	l.Titles, removed = changes(from.Titles, to.Titles, name)
+	for _, t := range removed {
+		l.Removed = append(l.Removed, t.Name)
 	}
-	titles := map[string]Title{}
-	for _, t := range from.Titles {
-		titles[t.Name] = t
+	return l
+}
+
+// changes are the entries that are new or other than before, and those that are no more.
+func changes[T comparable](from, to []T, key func(T) string) (changed, gone []T) {
+	old := map[string]T{}
+	for _, x := range from {
+		old[key(x)] = x
 	}
-	for _, t := range to.Titles {
-		if o, ok := titles[t.Name]; !ok || o != t {
-			l.Titles = append(l.Titles, t)
+	for _, x := range to {
+		if o, ok := old[key(x)]; !ok || o != x {
+			changed = append(changed, x)
 		}
-		delete(titles, t.Name)
+		delete(old, key(x))
 	}
-	for _, t := range from.Titles {
-		if _, left := titles[t.Name]; left {
-			l.Removed = append(l.Removed, t.Name)
+	for _, x := range from {
+		if _, left := old[key(x)]; left {
+			gone = append(gone, x)
 		}
 	}
-	return l
+	return changed, gone
 }
