--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -142,6 +142,7 @@
 	viewerLeft
 	playedOut
 	serverLost
+	adopted
 )
 
 // request is one request from its arrival until nothing more can come of it.
@@ -185,6 +186,14 @@
 	}
 }
 
+// Adopt hands over a session that plays already, as an edge finds them after a restart. Nothing is owed
+// for it; its attempt counts as the first.
+func (o *Owner) Adopt(r control.Request, rung int, l Listener) {
+	r.Playing = true
+	o.put(input{what: adopted, request: &request{Request: r, listener: l, answered: true, playing: true, server: r.Server,
+		attempts: 1, rung: rung, sent: o.Now()}})
+}
+
 // Leave says that the viewer of a request went away, whether it waits or plays.
 func (o *Owner) Leave(id string) { o.put(input{what: viewerLeft, id: id}) }
 
@@ -279,6 +288,13 @@
 		o.begin(in.request)
 	case attemptEnded:
 		o.attemptEnded(in)
+	case adopted:
+		r := in.request
+		o.open[r.ID] = r
+		o.Stats.Open.Add(1)
+		o.Log.Info("session taken over", "session", r.ID, "server", r.server, "rung", r.rung)
+		o.tell(r.Request)
+		o.tell(control.Note{ID: r.ID, Server: r.server, Kind: control.NoteRung, Value: float64(r.rung)})
 	case viewerLeft:
 		o.left(in.id)
 	case playedOut:
--- a/internal/edge/boxes.go
+++ b/internal/edge/boxes.go
@@ -55,12 +55,12 @@
 // from what may have run: no connection or 503 with a reason never ran; all else may have.
 func (b *boxes) SetUp(ctx context.Context, a core.Attempt) core.Result {
 	b.listen(a.Server)
-	title, viewer := "", ""
+	title, viewer, best := "", "", 0
 	if y, ok := a.Listener.(*try); ok {
-		title, viewer = y.s.title.Name, y.s.key
+		title, viewer, best = y.title, y.s.key, y.best
 	}
 	q := url.Values{"title": {title}, "class": {b.e.Site.Classes[a.Class].Name}, "rung": {strconv.Itoa(a.Rung)},
-		"attempt": {strconv.Itoa(a.Number)}, "edge": {b.e.name()}, "viewer": {viewer}}
+		"attempt": {strconv.Itoa(a.Number)}, "edge": {b.e.name()}, "viewer": {viewer}, "best": {strconv.Itoa(best)}}
 	p, err := b.client.Do(ctx, a.Server, "POST", "/sessions/"+a.ID+"?"+q.Encode(), nil, nil)
 	if err != nil {
 		b.e.Log.Debug("set-up", "session", a.ID, "server", a.Server, "error", err)
@@ -202,7 +202,6 @@
 // follower hears one box's event stream: notes on sessions there, and by its silence that it is lost.
 type follower struct {
 	held map[string]time.Duration // sessions there, since when
-	boot string
 }
 
 const (
@@ -245,6 +244,7 @@
 type boxLine struct {
 	Boot     string           `json:"boot"` // in the first line, with all sessions of this edge there
 	Sessions []string         `json:"sessions"`
+	Held     []heldLine       `json:"held"` // what an earlier instance of this edge left
 	Session  string           `json:"s"`
 	Kind     control.NoteKind `json:"k"`
 	Value    float64          `json:"x"`
@@ -337,11 +337,12 @@
 		for _, id := range l.Sessions {
 			there[id] = true
 		}
-		fresh := f.boot != l.Boot
-		f.boot = l.Boot
 		b.lost(server, f, func(id string, since time.Duration) bool {
-			return since < opened && (fresh && !there[id] || !there[id])
+			return since < opened && !there[id]
 		})
+		for _, h := range l.Held {
+			b.e.goes(func() { b.e.adopt(server, h) })
+		}
 	case l.End:
 		b.lost(server, f, func(id string, _ time.Duration) bool { return id == l.Session })
 	case l.Kind >= control.NoteShare && l.Kind <= control.NoteUplink && l.Value >= 0:
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,6 +56,8 @@
 	work    sync.WaitGroup
 	ctx     context.Context
 	peers   []net.Addr
+
+	reclaiming chan struct{} // closed when a restarted edge no longer waits for boxes; nil: it began empty
 }
 
 // fleet is a view made ready for lookups.
@@ -141,12 +143,14 @@
 
 // nextID names a request; no two edges or instances of one make the same.
 func (e *Edge) nextID() string {
-	return "e" + strconv.Itoa(e.Position) + "-" + e.boot + "-" + strconv.FormatUint(e.count.Add(1), 36)
+	return e.idPrefix() + e.boot + "-" + strconv.FormatUint(e.count.Add(1), 36)
 }
 
+func (e *Edge) idPrefix() string { return "e" + strconv.Itoa(e.Position) + "-" }
+
 // ask hands a session's next try to the module. s.mu is held.
 func (e *Edge) ask(s *session, d join.Decision, patience time.Duration) (*try, bool) {
-	y := &try{id: e.nextID(), s: s, e: e, answered: make(chan struct{}), closed: make(chan struct{})}
+	y := &try{id: e.nextID(), title: s.title.Name, best: s.best, s: s, e: e, answered: make(chan struct{}), closed: make(chan struct{})}
 	now := e.now()
 	length := time.Duration(s.title.Length) * time.Millisecond
 	if length > 0 && s.position > 0 {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -688,3 +688,44 @@
 	}
 	w.until("descriptors are closed", func() bool { return open() <= before+4 })
 }
+
+// An edge that is killed and comes back takes over what still plays at boxes: the viewer's reload goes on
+// in the same numbers, and nothing is set up again.
+func TestRestartTakesOver(t *testing.T) {
+	w := newWorld(t, 3, 1, nil)
+	w.startEdge(0, 3)
+	_, manifest := w.play(0, "class=paid&key=k1")
+	uri := w.media(0, manifest)
+	time.Sleep(1200 * time.Millisecond)
+	_, before := w.get(uri)
+	w.edges[0].end()
+	w.startEdge(0, 3)
+	code, after := w.get(uri)
+	if code != 200 || w.box(after) != w.box(before) {
+		t.Errorf("%d\n%s\nbefore\n%s", code, after, before)
+	}
+	numbered := func(list string) map[string]string { // by sequence number
+		out, n := map[string]string{}, 0
+		for _, l := range strings.Split(list, "\n") {
+			if v, ok := strings.CutPrefix(l, "#EXT-X-MEDIA-SEQUENCE:"); ok {
+				fmt.Sscan(v, &n)
+			} else if strings.HasPrefix(l, "http") {
+				out[fmt.Sprint(n)] = l
+				n++
+			}
+		}
+		return out
+	}
+	old, same := numbered(before), 0
+	for n, uri := range numbered(after) {
+		if old[n] == uri {
+			same++
+		} else if old[n] != "" {
+			t.Errorf("segment %s was %s, is %s", n, old[n], uri)
+		}
+	}
+	if n := w.count(audit.SetupArrived, "paid"); n != 1 || same == 0 {
+		t.Errorf("%d set-ups, %d segments alike", n, same)
+	}
+	w.judge()
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -182,7 +182,9 @@
 		e.Log.Error("last view not used", "file", e.lastPath(), "error", err)
 		return
 	}
-	e.take(view.View{Version: l.Version, Boxes: l.Boxes, Titles: l.Titles}, l, true, true)
+	v := view.View{Version: l.Version, Boxes: l.Boxes, Titles: l.Titles}
+	e.take(v, l, true, true)
+	e.reclaim(v)
 }
 
 // openPeers opens the port for other edges' messages.
--- a/internal/edge/handle.go
+++ b/internal/edge/handle.go
@@ -289,6 +289,9 @@
 // serve settles a request that is not simply a reload of what plays.
 func (e *Edge) serve(ctx context.Context, x *http1.Exchange, a ask, k join.Kind) {
 	due := e.now() + a.patience
+	if k == join.Reload && e.reclaiming != nil && e.table.find(a.name) == nil {
+		e.awaitReclaim(a.name)
+	}
 	if turn, after := e.turnAway(); turn && e.table.find(a.name) == nil {
 		e.refuse(x, after)
 		return
@@ -354,6 +357,19 @@
 	}
 }
 
+// awaitReclaim waits, after a restart, for a box to tell of a session.
+func (e *Edge) awaitReclaim(name []byte) {
+	t := time.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+	for e.table.find(name) == nil {
+		select {
+		case <-e.reclaiming:
+			return
+		case <-t.C:
+		}
+	}
+}
+
 // await waits for a try's answer. False if the exchange is settled: the viewer went away, or time ran out.
 func (e *Edge) await(x *http1.Exchange, s *session, y *try, due time.Duration) bool {
 	gone, stop := x.Watch()
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -41,6 +41,8 @@
 // try is one request to the module. It hears of it on the owner's goroutine.
 type try struct {
 	id       string
+	title    string
+	best     int
 	s        *session
 	e        *Edge
 	answered chan struct{} // closed with answer set
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -75,7 +75,7 @@
 
 type held struct {
 	id, edge, title, class, viewer string
-	attempt, rung                  int
+	attempt, rung, best            int
 	rate                           float64
 	since                          time.Time
 }
@@ -396,16 +396,22 @@
 	}
 	e := &ear{lines: make(chan string, 64)}
 	b.ears[edge] = e
-	ids := []string{}
+	ids, left := []string{}, []map[string]any{}
+	position, _, _ := strings.Cut(edge, ".")
 	for _, h := range b.held {
-		if h.edge == edge {
+		switch before, _, _ := strings.Cut(h.edge, "."); {
+		case h.edge == edge:
 			ids = append(ids, h.id)
+		case before == position: // of an earlier instance: handed over
+			h.edge = edge
+			left = append(left, map[string]any{"id": h.id, "title": h.title, "class": h.class, "viewer": h.viewer, "rung": h.rung,
+				"best": h.best, "since_ms": time.Since(h.since).Milliseconds()})
 		}
 	}
 	boot := b.boot
 	f.mu.Unlock()
 	out := http.NewResponseController(w)
-	first, _ := json.Marshal(map[string]any{"boot": boot, "sessions": ids})
+	first, _ := json.Marshal(map[string]any{"boot": boot, "sessions": ids, "held": left})
 	fmt.Fprintf(w, "%s\n", first)
 	_ = out.Flush()
 	defer func() {
@@ -453,6 +459,7 @@
 	h := &held{id: r.PathValue("id"), edge: q.Get("edge"), title: q.Get("title"), class: q.Get("class"), viewer: q.Get("viewer"), since: time.Now()}
 	h.attempt, _ = strconv.Atoi(q.Get("attempt"))
 	h.rung, _ = strconv.Atoi(q.Get("rung"))
+	h.best, _ = strconv.Atoi(q.Get("best"))
 	class := f.Site.Class(h.class)
 	if class < 0 || h.rung < 0 || h.rung >= len(f.Site.Ladder) {
 		http.Error(w, "no such class or rung", http.StatusBadRequest)
