Alternative renditions seen end to end

Need: EXT-X-MEDIA groups were rewritten without a test on sockets. A box now can serve any manifest; the session's audio playlist is at its own box, groups of other variants fall away, unknown tags stay.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -729,3 +729,30 @@
 	}
 	w.judge()
 }
+
+// A manifest with an audio group: the session's manifest names the edge for both, each at the session's box;
+// tags that the edge does not know stay.
+func TestRenditions(t *testing.T) {
+	w := newWorld(t, 2, 1, nil)
+	w.startEdge(0, 2)
+	for _, b := range w.fleet.Boxes {
+		b.Set(func(f *standin.Faults) {
+			f.Manifest = "#EXTM3U\n#EXT-X-NEW-TAG:A=1\n#EXT-X-MEDIA:TYPE=AUDIO,GROUP-ID=\"a\",NAME=\"en\",URI=\"r0/media.m3u8\"\n" +
+				"#EXT-X-MEDIA:TYPE=AUDIO,GROUP-ID=\"b\",NAME=\"other\",URI=\"r1/media.m3u8\"\n" +
+				"#EXT-X-STREAM-INF:BANDWIDTH=9,AUDIO=\"a\"\nr2/media.m3u8\n"
+		})
+	}
+	code, manifest := w.play(0, "key=k1")
+	if code != 200 || !strings.Contains(manifest, "#EXT-X-NEW-TAG:A=1\n") || strings.Contains(manifest, "GROUP-ID=\"b\"") {
+		t.Fatalf("%d %s", code, manifest)
+	}
+	uri := w.media(0, manifest)
+	_, main := w.get(uri)
+	code, audio := w.get(strings.Replace(uri, "media.m3u8", "r1.m3u8", 1))
+	if code != 200 || w.box(audio) != w.box(main) || !strings.Contains(audio, "/r0/0.aac") || !strings.Contains(main, "/r2/0.aac") {
+		t.Errorf("%d\n%s\n%s", code, audio, main)
+	}
+	if code, _ := w.get(strings.Replace(uri, "media.m3u8", "r3.m3u8", 1)); code != 404 {
+		t.Errorf("no such rendition: %d", code)
+	}
+}
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -70,6 +70,7 @@
 	NoteDelay  time.Duration
 	NoteFrozen bool   // link notes repeat their last value
 	Playlist   string // served in place of every media playlist
+	Manifest   string // served in place of every multivariant playlist
 	SetUp      time.Duration
 }
 
@@ -542,7 +543,11 @@
 	w.Header().Set("Content-Type", "application/vnd.apple.mpegurl")
 	over("playing")
 	w.WriteHeader(http.StatusCreated)
-	_, _ = w.Write([]byte(f.multivariant(class)))
+	manifest := f.multivariant(class)
+	if fault.Manifest != "" {
+		manifest = fault.Manifest
+	}
+	_, _ = w.Write([]byte(manifest))
 }
 
 func (b *Box) turnsAway() string {
