The module honours room held for announced sessions

Need: announced peaks meet links that others have filled. A Holds event keeps a part of a server's link, uplink and streams from sessions of other classes and titles, and from steps up, until it is used or told no more.

--- a/control/api.go
+++ b/control/api.go
@@ -234,6 +234,19 @@
 	Data string
 }
 
+// Holds tells the room that is kept for announced sessions; it replaces all that was told before.
+type Holds struct{ Parts []Hold }
+
+// Hold is room on one server for sessions of one class and title, of all fronts together, as it was
+// still unused when told.
+type Hold struct {
+	Server  string
+	Class   int
+	Title   uint64
+	Rate    float64 // kB/s, of its link and of its rack's uplink
+	Streams float64
+}
+
 // TimerFired is a timer set earlier.
 type TimerFired struct{ Label string }
 
@@ -245,6 +258,7 @@
 func (Left) event()        {}
 func (Probed) event()      {}
 func (PeerMessage) event() {}
+func (Holds) event()       {}
 func (TimerFired) event()  {}
 
 // Action is something the front is to do, in order.
--- a/control/control.go
+++ b/control/control.go
@@ -183,19 +183,73 @@
 	return unheard
 }
 
-// room is what a server's link and its rack's uplink still give up to a fullness, in kB/s.
-func (c *Controller) room(s *server, upTo float64) float64 {
-	link, uplink := c.rooms(s, upTo)
+// hold takes the room kept for announced sessions.
+func (c *Controller) hold(e Holds) {
+	c.holding, c.holdsAt = len(e.Parts) > 0, c.now
+	for _, s := range c.order {
+		s.kept = nil
+	}
+	for _, h := range e.Parts {
+		if s := c.known[h.Server]; s != nil && h.Rate >= 0 && h.Streams >= 0 {
+			s.kept = append(s.kept, h)
+		}
+	}
+}
+
+// heldBack is the room on a server that is held for others than x; for anyone, where x is nil. What own
+// sessions of its title took since the hold was told is used, and other fronts are thought to have taken
+// as much. Harm: a hold for viewers who never come keeps out others, until it is told no more.
+func (c *Controller) heldBack(x *session, s *server) (kb, streams float64) {
+	for _, h := range s.kept {
+		if x != nil && x.Class == h.Class && x.Title == h.Title {
+			continue
+		}
+		rate, n := h.Rate, h.Streams
+		for _, y := range s.held {
+			if y.Class == h.Class && y.Title == h.Title && y.sentAt >= c.holdsAt {
+				rate, n = rate-float64(c.set.Fronts)*c.rate(y, y.rung), n-float64(c.set.Fronts)
+			}
+		}
+		kb, streams = kb+max(rate, 0), streams+max(n, 0)
+	}
+	return kb, streams
+}
+
+// rackHeld is the same for a rack's uplink.
+func (c *Controller) rackHeld(x *session, r *rack) (sum float64) {
+	if !c.holding {
+		return 0
+	}
+	for _, s := range r.servers {
+		kb, _ := c.heldBack(x, s)
+		sum += kb
+	}
+	return sum
+}
+
+// seems is how full a link is in x's eyes: what is held for others is taken.
+func (c *Controller) seems(x *session, s *server) float64 {
+	full := c.fullness(s)
+	if kb, _ := c.heldBack(x, s); kb > 0 && s.capacity > 0 {
+		full += kb / s.capacity
+	}
+	return full
+}
+
+// room is what a server's link and its rack's uplink still give x up to a fullness, in kB/s.
+func (c *Controller) room(s *server, upTo float64, x *session) float64 {
+	link, uplink := c.rooms(s, upTo, x)
 	return min(link, uplink)
 }
 
-func (c *Controller) rooms(s *server, upTo float64) (link, uplink float64) {
+func (c *Controller) rooms(s *server, upTo float64, x *session) (link, uplink float64) {
 	link, uplink = math.Inf(1), math.Inf(1)
 	if s.capacity > 0 {
-		link = (upTo - c.fullness(s)) * s.capacity
+		kb, _ := c.heldBack(x, s)
+		link = (upTo-c.fullness(s))*s.capacity - kb
 	}
 	if r := c.racks[s.rack]; r.capacity > 0 {
-		uplink = upTo*r.capacity - c.uplink(r)
+		uplink = upTo*r.capacity - c.uplink(r) - c.rackHeld(x, r)
 	}
 	return link, uplink
 }
@@ -327,7 +381,7 @@
 		if !c.allowed(x, s) {
 			continue
 		}
-		switch room := c.room(s, admitLimit); {
+		switch room := c.room(s, admitLimit, x); {
 		case c.suspect(x, s):
 			suspect = append(suspect, s)
 		case room >= lowest*c.added(x, x.class.Floor, s.held):
@@ -355,7 +409,8 @@
 	if c.now-s.streamsAt > streamsFor {
 		others = 0
 	}
-	if n := c.streams(s); n > 0 && others+len(s.held) >= n || c.now < s.fullTill {
+	_, held := c.heldBack(x, s)
+	if n := c.streams(s); n > 0 && others+len(s.held)+int(held) >= n || c.now < s.fullTill {
 		return false
 	}
 	if m := x.mayRan; m != nil && x.class.Effect == Deduplicated {
@@ -451,12 +506,12 @@
 func (c *Controller) leastLoaded(x *session, group []*server) *server {
 	least := math.Inf(1)
 	for _, s := range group {
-		least = min(least, c.fullness(s))
+		least = min(least, c.seems(x, s))
 	}
 	var best *server
 	bestCost := math.Inf(1)
 	for _, s := range group {
-		if c.fullness(s) > least+tieWidth {
+		if c.seems(x, s) > least+tieWidth {
 			continue
 		}
 		cost := c.rng.Float64() * tieWidth / 2
@@ -483,7 +538,7 @@
 	x.rung = x.class.Floor
 	s.add(x)
 	c.changed(s)
-	if need := -c.room(s, admitLimit); need > 0 {
+	if need := -c.room(s, admitLimit, x); need > 0 {
 		c.stepDown(s.held, need, x)
 	}
 	top := min(x.Best, x.class.Top)
@@ -497,8 +552,8 @@
 		if c.set.Ladder[x.rung+1] <= fairPart*c.fair {
 			upTo, part = fairTarget, fairShare
 		}
-		link, _ := c.rooms(s, upTo)
-		_, uplink := c.rooms(s, riseTarget) // shared by many servers: more newcomers at once
+		link, _ := c.rooms(s, upTo, x)
+		_, uplink := c.rooms(s, riseTarget, x) // shared by many servers: more newcomers at once
 		room := min(link*part, uplink*max(part/4, 1/float64(c.set.Fronts)))
 		if step > room && !c.swap(x, s, step-max(room, 0)) {
 			break
@@ -936,7 +991,8 @@
 	} else if c.now-r.allowed >= max(c.set.LinkNoteEvery, stepEvery) {
 		r.allowed, r.allowance = c.now, 0
 		if !short {
-			r.allowance = max(riseTarget*r.capacity-asked, 0) * upPart * own / max(asked, 1e-9)
+			free := max(riseTarget*r.capacity-asked-c.rackHeld(nil, r), 0)
+			r.allowance = free * upPart * own / max(asked, 1e-9)
 		}
 	}
 	r.fresh = false
@@ -945,7 +1001,7 @@
 // stepUp spends a rate on the own sessions that gain most by it, and returns what it spent. A step
 // larger than what is left is taken with that chance.
 func (c *Controller) stepUp(s *server, mine float64) (spent float64) {
-	room := c.room(s, riseTarget)
+	room := c.room(s, riseTarget, nil)
 	for mine > 0 {
 		var best *session
 		var gain, taken float64
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -882,3 +883,43 @@
 		}
 	})
 }
+
+// Room held for announced sessions is not open to others, is open to its own, lapses when told no more, and
+// own use of it counts against it.
+func TestHoldKeepsRoom(t *testing.T) {
+	announced, other := uint64(7), uint64(8)
+	for _, c := range []struct {
+		name  string
+		title uint64
+		parts []Hold
+		sent  bool
+	}{
+		{"no hold", other, nil, true},
+		{"held for another title", other, []Hold{{Server: "s0", Title: announced, Rate: 1e9}}, false},
+		{"held for it", announced, []Hold{{Server: "s0", Title: announced, Rate: 1e9}}, true},
+		{"held for its title in another class", announced, []Hold{{Server: "s0", Class: 1, Title: announced, Rate: 1e9}}, false},
+		{"streams held for another title", other, []Hold{{Server: "s0", Title: announced, Streams: 1e6}}, false},
+		{"little held", other, []Hold{{Server: "s0", Title: announced, Rate: 1, Streams: 1}}, true},
+		{"senseless", other, []Hold{{Server: "s0", Title: announced, Rate: -1e9}, {Server: "none", Rate: 1e9}}, true},
+	} {
+		set := settings()
+		f := start(t, set, Server{ID: "s0", State: Ready, Weight: 1})
+		f.link(.1)
+		f.step(Holds{Parts: c.parts})
+		out := f.step(Request{ID: "x", Title: c.title, Best: 0, Due: f.now + 4*time.Second})
+		sent := false
+		for _, a := range out {
+			if _, ok := a.(Send); ok {
+				sent = true
+			}
+		}
+		if sent != c.sent {
+			t.Errorf("%s: %+v", c.name, out)
+		}
+		f.step(Holds{})
+		out = f.step(Request{ID: "y", Title: other, Best: 0, Due: f.now + 4*time.Second})
+		if !slices.ContainsFunc(out, func(a Action) bool { _, ok := a.(Send); return ok }) {
+			t.Errorf("%s: nothing told any more, yet %+v", c.name, out)
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -34,6 +34,9 @@
 	touched    []*server       // own sessions changed in this step
 	marks      map[int]*server // by the short names that messages use
 
+	holding bool          // some room is held
+	holdsAt time.Duration // when holds were told
+
 	meanIs      float64
 	meanKnown   bool // nothing that the mean rests on changed since it was worked out
 	evaluations int  // servers looked at for means; tests bound it
@@ -80,6 +83,8 @@
 			c.probed(e)
 		case PeerMessage:
 			c.peer(e)
+		case Holds:
+			c.hold(e)
 		case TimerFired:
 			c.timer(e)
 		}
@@ -136,6 +141,7 @@
 	lastSend     time.Duration
 	probing      bool
 
+	kept        []Hold
 	toldRate    float64 // kB/s and streams that the keeper was told of
 	toldStreams int
 	touched     bool
