Peaks: announcements, what to believe of them, a plan by linear programming, a ledger

Need: room must be held ahead of announced hours and given back. A package without I/O keeps versioned announcements, follows early, late, larger, smaller and missing peaks, plans holds by gonum's simplex beside a greedy plan, and proves held + used + free = size over any order of events (rapid).

--- /dev/null
+++ b/internal/peaks/ledger.go
@@ -0,0 +1,179 @@
+package peaks
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Key names a hold.
+type Key struct{ Peak, Title, Box string }
+
+// Use is what sessions of a peak's title take on a box, at one edge. Rate in kB/s.
+type Use struct {
+	Key
+	Rate    float64 `json:"rate"`
+	Streams float64 `json:"streams"`
+}
+
+// Size of a box: what its link gives in kB/s, its streams, and what sessions outside any peak take of both.
+type Size struct{ Rate, Streams, OtherRate, OtherStreams float64 }
+
+// Account is where a box's room stands: Held + Used + Free = Size. Free is below 0 where more is used
+// than there is; then nothing is held.
+type Account struct{ Size, Held, Used, Free float64 }
+
+// Ledger proves what is held. What edges use they report whole, so that a report that comes twice, or
+// late, gives nothing back twice; one that comes no more expires.
+type Ledger struct {
+	sizes map[string]Size
+	plan  map[Key]Hold
+	edges map[string]*report
+	most  map[string]float64 // sessions still to come, by peak and title; none: not limited
+}
+
+type report struct {
+	seq  uint64
+	at   int64
+	uses map[Key]Use
+}
+
+// NewLedger is empty.
+func NewLedger() *Ledger {
+	return &Ledger{sizes: map[string]Size{}, plan: map[Key]Hold{}, edges: map[string]*report{}, most: map[string]float64{}}
+}
+
+// Resize tells the boxes that may get new work. What is held on others falls away.
+func (l *Ledger) Resize(sizes map[string]Size) { l.sizes = sizes }
+
+// SetPlan replaces the plan.
+func (l *Ledger) SetPlan(holds []Hold) {
+	l.plan = make(map[Key]Hold, len(holds))
+	for _, h := range holds {
+		if h.Rate >= 0 && h.Streams >= 0 {
+			l.plan[Key{h.Peak, h.Title, h.Box}] = h
+		}
+	}
+}
+
+// Coming bounds what is held by the sessions that are still expected: by peak and title.
+func (l *Ledger) Coming(most map[string]float64) { l.most = most }
+
+// PeakTitle is the key of Coming.
+func PeakTitle(peak, title string) string { return peak + "\x00" + title }
+
+// Report takes what an edge uses. One that is not newer than the last of that edge changes nothing.
+func (l *Ledger) Report(edge string, seq uint64, now int64, uses []Use) bool {
+	if r := l.edges[edge]; r != nil && seq <= r.seq {
+		return false
+	}
+	r := &report{seq: seq, at: now, uses: make(map[Key]Use, len(uses))}
+	for _, u := range uses {
+		if u.Rate >= 0 && u.Streams >= 0 {
+			r.uses[u.Key] = u
+		}
+	}
+	l.edges[edge] = r
+	return true
+}
+
+// Expire drops reports older than a time.
+func (l *Ledger) Expire(before int64) {
+	for e, r := range l.edges {
+		if r.at < before {
+			delete(l.edges, e)
+		}
+	}
+}
+
+// used sums up what is used under each key.
+func (l *Ledger) used() map[Key]Use {
+	out := map[Key]Use{}
+	for _, r := range l.edges {
+		for k, u := range r.uses {
+			s := out[k]
+			s.Rate, s.Streams = s.Rate+u.Rate, s.Streams+u.Streams
+			out[k] = s
+		}
+	}
+	return out
+}
+
+// Held is what of the plan is not used yet, within what each box has left and what is still expected.
+func (l *Ledger) Held() []Hold {
+	used := l.used()
+	var out []Hold
+	for k, h := range l.plan {
+		h.Rate, h.Streams = max(h.Rate-used[k].Rate, 0), max(h.Streams-used[k].Streams, 0)
+		if h.Rate > 0 && h.Streams > 0 {
+			out = append(out, h)
+		}
+	}
+	slices.SortFunc(out, func(a, b Hold) int {
+		return cmp.Or(strings.Compare(a.Peak, b.Peak), strings.Compare(a.Title, b.Title), strings.Compare(a.Box, b.Box))
+	})
+	streams := map[string]float64{}
+	for _, h := range out {
+		streams[PeakTitle(h.Peak, h.Title)] += h.Streams
+	}
+	for i := range out {
+		k := PeakTitle(out[i].Peak, out[i].Title)
+		if most, ok := l.most[k]; ok && streams[k] > most {
+			out[i].scale(max(most, 0) / streams[k])
+		}
+	}
+	l.fit(out, used)
+	return slices.DeleteFunc(out, func(h Hold) bool { return h.Rate < 1e-6 || h.Streams < 1e-6 })
+}
+
+func (h *Hold) scale(by float64) { h.Rate, h.Streams = h.Rate*by, h.Streams*by }
+
+// fit cuts holds down to what their boxes have left.
+func (l *Ledger) fit(holds []Hold, used map[Key]Use) {
+	rate, streams := map[string]float64{}, map[string]float64{}
+	for b, s := range l.sizes {
+		rate[b], streams[b] = s.Rate-s.OtherRate, s.Streams-s.OtherStreams
+	}
+	for k, u := range used {
+		rate[k.Box], streams[k.Box] = rate[k.Box]-u.Rate, streams[k.Box]-u.Streams
+	}
+	held, heldStreams := map[string]float64{}, map[string]float64{}
+	for _, h := range holds {
+		held[h.Box], heldStreams[h.Box] = held[h.Box]+h.Rate, heldStreams[h.Box]+h.Streams
+	}
+	for i := range holds {
+		b := holds[i].Box
+		part := 1.0
+		if held[b] > 0 {
+			part = min(part, max(rate[b], 0)/held[b])
+		}
+		if heldStreams[b] > 0 {
+			part = min(part, max(streams[b], 0)/heldStreams[b])
+		}
+		holds[i].scale(part)
+	}
+}
+
+// Accounts are all boxes' accounts, of their links.
+func (l *Ledger) Accounts() map[string]Account {
+	out := map[string]Account{}
+	for b, s := range l.sizes {
+		out[b] = Account{Size: s.Rate, Used: s.OtherRate}
+	}
+	for k, u := range l.used() {
+		if a, ok := out[k.Box]; ok {
+			a.Used += u.Rate
+			out[k.Box] = a
+		}
+	}
+	for _, h := range l.Held() {
+		a := out[h.Box]
+		a.Held += h.Rate
+		out[h.Box] = a
+	}
+	for b, a := range out {
+		a.Free = a.Size - a.Held - a.Used
+		out[b] = a
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peaks/peaks_test.go
@@ -0,0 +1,352 @@
+package peaks
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const now = int64(1_800_000_000_000)
+
+var known = Known{Classes: []string{"play"}, Zones: []string{"z"}, Titles: map[string]bool{"a": true, "b": true}}
+
+func peak() Announcement {
+	return Announcement{ID: "p", Version: 1, Titles: []string{"a"}, Class: "play", Start: now + 60_000, Uncertain: 5000, Rate: 10, Length: 30_000}
+}
+
+func TestBook(t *testing.T) {
+	for _, c := range []struct {
+		field  string
+		change func(*Announcement)
+	}{
+		{"id", func(a *Announcement) { a.ID = "" }}, {"id", func(a *Announcement) { a.ID = "a/b" }}, {"version", func(a *Announcement) { a.Version = 0 }},
+		{"titles", func(a *Announcement) { a.Titles = nil }}, {"titles[0]", func(a *Announcement) { a.Titles = []string{"x"} }},
+		{"titles[1]", func(a *Announcement) { a.Titles = []string{"a", "a"} }}, {"class", func(a *Announcement) { a.Class = "x" }},
+		{"zone", func(a *Announcement) { a.Zone = "x" }}, {"rate", func(a *Announcement) { a.Rate = math.Inf(1) }}, {"rate", func(a *Announcement) { a.Rate = math.NaN() }},
+		{"rate", func(a *Announcement) { a.Rate = -1 }}, {"length_ms", func(a *Announcement) { a.Length = 0 }}, {"length_ms", func(a *Announcement) { a.Length = math.MaxInt64 }},
+		{"session_ms", func(a *Announcement) { a.Session = -1 }}, {"uncertain_ms", func(a *Announcement) { a.Uncertain = 1 << 40 }},
+		{"worth", func(a *Announcement) { a.Worth = math.NaN() }}, {"start_ms", func(a *Announcement) { a.Start = 5 }},
+		{"start_ms", func(a *Announcement) { a.Start = math.MaxInt64 }}, {"start_ms", func(a *Announcement) { a.Start = now - 40_000 }},
+	} {
+		b, a := NewBook(), peak()
+		c.change(&a)
+		if _, err := b.Announce(a, known, now); err == nil || !strings.Contains(err.Error(), "peak: "+c.field+":") || len(b.List()) != 0 {
+			t.Errorf("%s: %v, %v", c.field, err, b.List())
+		}
+	}
+	b := NewBook()
+	say := func(want bool, wrong string, change func(*Announcement)) {
+		t.Helper()
+		a := peak()
+		change(&a)
+		changed, err := b.Announce(a, known, now)
+		if changed != want || (err != nil) != (wrong != "") {
+			t.Errorf("%+v: %v %v", a, changed, err)
+		}
+	}
+	say(true, "", func(*Announcement) {})
+	say(false, "", func(*Announcement) {})
+	say(false, "same version, another content", func(a *Announcement) { a.Rate = 11 })
+	say(true, "", func(a *Announcement) { a.Version, a.Rate = 3, 12 })
+	say(false, "", func(a *Announcement) { a.Version = 2 })
+	say(true, "", func(a *Announcement) { a.Version, a.Cancelled = 4, true })
+	say(false, "", func(a *Announcement) { a.Version = 3 })
+	if a, _ := b.Get("p"); !a.Cancelled {
+		t.Error("an older version brought a cancelled peak back")
+	}
+}
+
+// A peak that comes as announced, early, late, larger, smaller, or never.
+func TestFollower(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		from    int64 // arrivals begin so long after the start
+		rate    float64
+		at      int64 // asked then, after the start
+		lo, hi  float64
+		seconds float64
+	}{
+		{"long before", 0, 10, -30_000, 0, 0, 0}, {"held before it comes", 0, 10, -10_000, 10, 10, 30},
+		{"as announced", 0, 10, 10_000, 9, 11, 20}, {"early", -30_000, 10, -20_000, 9, 11, 20}, {"late", 12_000, 10, 22_000, 9, 11, 20},
+		{"larger", 0, 30, 10_000, 19, 20, 20}, {"smaller", 0, 3, 12_000, 2.5, 4, 18}, {"over", 0, 10, 31_000, 0, 0, 0},
+		{"not yet", 99_000, 10, 20_000, 10, 10, 30}, {"hardly any more", 99_000, 10, 45_000, 1, 6, 30}, {"never", 999_000, 10, 80_000, 0, 0, 0},
+	} {
+		a := peak()
+		f := &Follower{}
+		for ms := int64(-60_000); ms <= c.at; ms += 1000 {
+			n := 0.0
+			if ms >= c.from && ms < c.from+a.Length {
+				n = c.rate
+			}
+			f.Saw(a.Start+ms, n, &a)
+		}
+		e := f.Expect(a.Start+c.at, &a)
+		if e.Rate < c.lo || e.Rate > c.hi || math.Abs(e.Coming.Seconds()-c.seconds) > 1.5 {
+			t.Errorf("%s: %.1f a second for %v, want %v to %v for %v s", c.name, e.Rate, e.Coming, c.lo, c.hi, c.seconds)
+		}
+	}
+	a := peak()
+	a.Cancelled = true
+	if e := (&Follower{}).Expect(a.Start, &a); e.Rate != 0 {
+		t.Error("a cancelled peak is expected")
+	}
+}
+
+// fleet of n boxes in racks of four, each holding what its cell says.
+func fleet(n int) *Fleet {
+	f := &Fleet{Cells: n, Edges: 3, Ladder: []float64{260, 460, 810, 1440, 2540}, Worths: []float64{0.17, 0.41, 0.61, 0.81, 1},
+		Classes: []Class{{Factor: 1, Top: 4, Worth: 1}, {Factor: 1.2, Top: 4, Worth: 2, Seats: 10}, {Factor: 1, Floor: 1, Top: 3, Worth: 2}}}
+	for i := range n {
+		f.Boxes = append(f.Boxes, Box{ID: fmt.Sprintf("b%03d", i), Rack: i / 4, Cell: i, Link: 9000 + float64(i%3)*3000, Streams: 27, Warm: 1,
+			Busy: 3000 + float64(i%5)*1000, Playing: 5})
+	}
+	for range (n + 3) / 4 {
+		f.Uplinks = append(f.Uplinks, 36000)
+	}
+	return f
+}
+
+// check finds what a plan breaks.
+func check(f *Fleet, demands []Demand, p *Plan, mayTake bool) error {
+	link, streams, rack, count := map[string]float64{}, map[string]float64{}, map[int]float64{}, map[string]float64{}
+	box := map[string]*Box{}
+	for i := range f.Boxes {
+		box[f.Boxes[i].ID] = &f.Boxes[i]
+	}
+	for _, h := range p.Holds {
+		b := box[h.Box]
+		link[h.Box] += h.Rate
+		streams[h.Box] += h.Streams
+		rack[b.Rack] += h.Rate
+		count[PeakTitle(h.Peak, h.Title)] += h.Streams
+		for _, d := range demands {
+			if d.Peak == h.Peak && d.Title == h.Title && !b.holds(d.Home, d.Span, f.Cells) {
+				return fmt.Errorf("%s does not hold %s", h.Box, h.Title)
+			}
+		}
+	}
+	take := 0.0
+	if mayTake {
+		take = giveUp
+	}
+	busy := map[int]float64{}
+	for id, b := range box {
+		kb, n := b.room()
+		if link[id] > kb+take*b.Busy+1 || streams[id] > n+1e-3 {
+			return fmt.Errorf("%s: %v kB/s of %v, %v streams of %v", id, link[id], kb, streams[id], n)
+		}
+		busy[b.Rack] += b.Busy
+	}
+	for r, kb := range rack {
+		if kb > max(fill*f.Uplinks[r]-busy[r], 0)+take*busy[r]+1 {
+			return fmt.Errorf("rack %d: %v kB/s", r, kb)
+		}
+	}
+	for _, d := range demands {
+		if n := count[PeakTitle(d.Peak, d.Title)]; n > f.count(&d)+1e-3 {
+			return fmt.Errorf("%s of %s: %v sessions of %v", d.Title, d.Peak, n, f.count(&d))
+		}
+	}
+	return nil
+}
+
+func demands(f *Fleet, n int, draw func(int) int) (out []Demand) {
+	for i := range n {
+		c := draw(3)
+		out = append(out, Demand{Peak: fmt.Sprint("p", i), Title: "t", Class: c, Home: draw(f.Cells), Span: 3 + draw(3), Count: float64(5 + draw(60)),
+			Worth: f.Classes[c].Worth})
+	}
+	return out
+}
+
+// Both plans keep every limit on any fleet and demand, and the solver's is worth no less than the greedy one.
+func TestPlansKeepLimits(t *testing.T) {
+	solved, failed := 0, 0
+	defer func() {
+		if failed*20 > solved {
+			t.Errorf("the simplex failed %d times and solved %d", failed, solved)
+		}
+	}()
+	rapid.Check(t, func(rt *rapid.T) {
+		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "n") }
+		f := fleet(8 + draw(8))
+		for i := range f.Boxes {
+			switch draw(6) {
+			case 0:
+				f.Boxes[i].Warm = 0.4
+			case 1:
+				f.Boxes[i].Busy = 2 * f.Boxes[i].Link
+			case 2:
+				f.Boxes[i].Playing = 30
+			}
+		}
+		d := demands(f, 1+draw(5), draw)
+		g := Greedy(f, d)
+		if err := check(f, d, g, false); err != nil {
+			rt.Fatalf("greedy: %v", err)
+		}
+		p, err := LP(f, d)
+		if err != nil { // the solver's floating point gave up: the greedy plan stands in
+			failed++
+			return
+		}
+		solved++
+		if err := check(f, d, p, true); err != nil {
+			rt.Fatalf("lp: %v", err)
+		}
+		if p.Value < g.Value-1e-3 {
+			rt.Fatalf("lp %v, greedy %v", p.Value, g.Value)
+		}
+	})
+}
+
+// More seats are held than a clip has: no more than its seats at all edges.
+func TestSeatsBoundHolds(t *testing.T) {
+	f := fleet(8)
+	d := []Demand{{Peak: "p", Title: "t", Class: 1, Span: 8, Count: 500, Worth: 2}}
+	for _, p := range []*Plan{Greedy(f, d), must(LP(f, d))} {
+		sum := 0.0
+		for _, h := range p.Holds {
+			sum += h.Streams
+		}
+		if math.Abs(sum-30) > 1e-3 {
+			t.Errorf("%s holds %v of 30 seats", p.By, sum)
+		}
+	}
+}
+
+func must(p *Plan, err error) *Plan {
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// A solver whose budget is spent gives the greedy plan, and the next plan is solved again.
+func TestSolverBudget(t *testing.T) {
+	f := fleet(40)
+	i := 0
+	d := demands(f, 12, func(n int) int { i = i*1103515245 + 12345; return int(uint32(i)>>8) % n })
+	s := NewSolver(time.Nanosecond)
+	if p, err := s.Plan(f, d); err == nil || p.By != "greedy" {
+		t.Errorf("%s %v", p.By, err)
+	}
+	if p, err := s.Plan(f, d); err == nil || p.By != "greedy" {
+		t.Errorf("while at work: %s %v", p.By, err)
+	}
+	s.Budget = time.Minute
+	for range 1000 {
+		if p, err := s.Plan(f, d); err == nil {
+			if p.By != "lp" {
+				t.Error(p.By)
+			}
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("the solver never came back")
+}
+
+// Whatever comes in whatever order, held + used + free = size, nothing held is below 0 or beyond the plan,
+// and telling a release twice gives nothing back twice.
+func TestLedgerProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLedger()
+		boxes, titles := []string{"a", "b", "c"}, []string{"t", "u"}
+		draw := func(name string) float64 { return rapid.Float64Range(0, 100).Draw(t, name) }
+		sizes := map[string]Size{}
+		key := func() Key {
+			return Key{rapid.SampledFrom([]string{"p", "q"}).Draw(t, "peak"), rapid.SampledFrom(titles).Draw(t, "title"), rapid.SampledFrom(boxes).Draw(t, "box")}
+		}
+		seq := uint64(0)
+		var last []Use
+		plan := map[Key]Hold{}
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0: // announce or change
+				plan = map[Key]Hold{}
+				var holds []Hold
+				for range rapid.IntRange(0, 5).Draw(t, "holds") {
+					k := key()
+					plan[k] = Hold{Peak: k.Peak, Title: k.Title, Box: k.Box, Rate: draw("rate"), Streams: draw("streams")}
+				}
+				for _, h := range plan {
+					holds = append(holds, h)
+				}
+				l.SetPlan(holds)
+			case 1: // cancel
+				plan = map[Key]Hold{}
+				l.SetPlan(nil)
+			case 2: // arrive, leave
+				seq++
+				last = nil
+				for range rapid.IntRange(0, 4).Draw(t, "uses") {
+					last = append(last, Use{key(), draw("used"), draw("used streams")})
+				}
+				l.Report("e"+fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "edge")), seq, int64(step), last)
+			case 3: // a report told again, or older, changes nothing
+				before := fmt.Sprint(l.Accounts())
+				for e, r := range l.edges {
+					if l.Report(e, r.seq, int64(step), nil) {
+						t.Fatal("an old report was taken")
+					}
+				}
+				if after := fmt.Sprint(l.Accounts()); before != after {
+					t.Fatalf("%s became %s", before, after)
+				}
+			case 4: // drain, die, return
+				sizes = map[string]Size{}
+				for _, b := range boxes {
+					if rapid.Bool().Draw(t, "listed") {
+						sizes[b] = Size{draw("size"), draw("size streams"), draw("other"), draw("other streams")}
+					}
+				}
+				l.Resize(sizes)
+			case 5: // an edge restarts or falls silent
+				l.Expire(int64(step - 3))
+			case 6:
+				l.Coming(map[string]float64{PeakTitle("p", "t"): draw("coming")})
+			}
+			for b, a := range l.Accounts() {
+				if math.Abs(a.Held+a.Used+a.Free-a.Size) > 1e-6 || a.Held < 0 || a.Held > max(a.Size-a.Used, 0)+1e-6 {
+					t.Fatalf("%s: %+v", b, a)
+				}
+			}
+			for _, h := range l.Held() {
+				p := plan[Key{h.Peak, h.Title, h.Box}]
+				if _, listed := sizes[h.Box]; h.Rate > p.Rate+1e-9 || h.Streams > p.Streams+1e-9 || !listed {
+					t.Fatalf("held %+v of planned %+v, listed %v", h, p, listed)
+				}
+			}
+		}
+	})
+}
+
+// At 280 boxes, 300 edges and 20 peaks.
+func BenchmarkPlan(b *testing.B) {
+	f := fleet(280)
+	f.Edges = 300
+	i := 7
+	d := demands(f, 20, func(n int) int { i = i*1103515245 + 12345; return int(uint32(i)>>8) % n })
+	for j := range d {
+		d[j].Count *= 3
+	}
+	g := Greedy(f, d)
+	b.Run("greedy", func(b *testing.B) {
+		for b.Loop() {
+			Greedy(f, d)
+		}
+		b.ReportMetric(g.Value, "worth/s")
+	})
+	b.Run("lp", func(b *testing.B) {
+		var p *Plan
+		for b.Loop() {
+			p = must(LP(f, d))
+		}
+		b.ReportMetric(p.Value, "worth/s")
+	})
+}
