Planner and edges hold room for announced peaks: API, files, leases, use reports

Need: the peaks package had no I/O around it. The planner takes announcements by HTTP and watched Jsonnet files, keeps them over restarts, plans each second and tells edges holds with a lease of 3 s; edges tell the module, report arrivals and use, and let holds lapse by their own clock. CMSD parsing moves to a package of its own.

--- a/internal/cli/programs.go
+++ b/internal/cli/programs.go
@@ -93,6 +93,9 @@
 type Planner struct {
 	SiteFile
 	Logging
+	State string `help:"Folder for announcements; without it a restart forgets them." type:"path"`
+	Peaks string `help:"Folder of Jsonnet files with announced peaks, watched for change." type:"path"`
+	Holds string `help:"How peaks' room is planned: by linear programming, greedily, or not at all." default:"lp" enum:"lp,greedy,none"`
 }
 
 // Run serves until a signal comes.
@@ -101,7 +104,12 @@
 	if err != nil {
 		return err
 	}
+	if c.State != "" {
+		if err := os.MkdirAll(c.State, 0o755); err != nil {
+			return fmt.Errorf("state folder: %w", err)
+		}
+	}
 	ctx, stop := untilSignal()
 	defer stop()
-	return planner.New(planner.Options{Site: site, Log: c.Logger("planner")}).Run(ctx)
+	return planner.New(planner.Options{Site: site, Log: c.Logger("planner"), State: c.State, Announcements: c.Peaks, Holds: c.Holds}).Run(ctx)
 }
--- a/internal/edge/boxes.go
+++ b/internal/edge/boxes.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"rainpulley/control"
+	"rainpulley/internal/cmsd"
 	"rainpulley/internal/core"
 	"rainpulley/internal/hls"
 	"rainpulley/internal/http1"
@@ -110,36 +111,13 @@
 	return control.Reset
 }
 
-// readLoad takes a box's load from the CMSD-Dynamic header (CTA-5006): keys of our own, as the standard
-// allows with a reverse domain name.
+// readLoad takes a box's load from its answer.
 func readLoad(p *http1.Response) *control.Load {
-	text := string(p.Get("cmsd-dynamic"))
-	if text == "" {
+	l := cmsd.Parse(p.Get("cmsd-dynamic"))
+	if l == nil {
 		return nil
 	}
-	l, any := &control.Load{}, false
-	for _, part := range strings.Split(text, ";") {
-		k, v, _ := strings.Cut(strings.TrimSpace(part), "=")
-		n, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(n >= 0) || n > 1e6 {
-			continue
-		}
-		switch k {
-		case "example.rainpulley-streams":
-			l.Streams = &n
-		case "example.rainpulley-link":
-			l.Link = &n
-		case "example.rainpulley-uplink":
-			l.Uplink = &n
-		default:
-			continue
-		}
-		any = true
-	}
-	if !any {
-		return nil
-	}
-	return l
+	return &control.Load{Streams: l.Streams, Link: l.Link, Uplink: l.Uplink}
 }
 
 // name is this instance of the edge, as boxes know it.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,6 +56,7 @@
 	work    sync.WaitGroup
 	ctx     context.Context
 	peers   []net.Addr
+	holds   holds
 
 	reclaiming chan struct{} // closed when a restarted edge no longer waits for boxes; nil: it began empty
 }
@@ -120,6 +121,9 @@
 	go func() { e.owner.Run(inner); close(ownerOver) }()
 	e.goes(func() { e.sweep(inner) })
 	e.goes(func() { e.follow(inner) })
+	if e.Planner != "" {
+		e.goes(func() { e.reportUse(inner) })
+	}
 	if e.Peer != nil {
 		e.goes(func() { e.hearPeers(inner) })
 	}
@@ -163,6 +167,9 @@
 	s.tries++
 	e.Log.Info("request", "session", y.id, "viewer", s.key, "title", s.title.Name, "class", e.Site.Classes[s.class].Name,
 		"best", s.best, "try", s.tries, "returned", d.Returned)
+	if !d.Returned {
+		e.holds.arrive(e.Site.Classes[s.class].Name, s.title.Name)
+	}
 	if !e.owner.Request(r, y) {
 		s.state = join.Answered
 		return nil, false
@@ -194,6 +201,7 @@
 			return
 		case <-t.C:
 		}
+		e.lapse()
 		var left, out []string
 		now := e.now()
 		e.table.each(func(s *session) bool {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -45,6 +45,9 @@
 				return err
 			}
 			wait = retryFirst
+			if l.Holds != nil {
+				defer e.hold(l.Holds) // after the boxes that it names
+			}
 			if changed {
 				v = next
 				e.take(v, l, whole, false)
--- a/internal/peaks/ledger.go
+++ b/internal/peaks/ledger.go
@@ -99,6 +99,17 @@
 	return out
 }
 
+// PeakUse is what sessions of peaks take on each box.
+func (l *Ledger) PeakUse() map[string]Use {
+	out := map[string]Use{}
+	for k, u := range l.used() {
+		s := out[k.Box]
+		s.Rate, s.Streams = s.Rate+u.Rate, s.Streams+u.Streams
+		out[k.Box] = s
+	}
+	return out
+}
+
 // Held is what of the plan is not used yet, within what each box has left and what is still expected.
 func (l *Ledger) Held() []Hold {
 	used := l.used()
--- /dev/null
+++ b/internal/planner/peaks.go
@@ -0,0 +1,431 @@
+package planner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"rainpulley/internal/config"
+	"rainpulley/internal/peaks"
+	"rainpulley/internal/view"
+)
+
+const (
+	planEvery   = time.Second
+	holdLease   = 3 * time.Second
+	usedFor     = 5 * time.Second // an edge's report counts for so long
+	solveBudget = 500 * time.Millisecond
+	mostBody    = 1 << 20
+	countLead   = 2 * time.Minute // arrivals are counted so long before the earliest start
+)
+
+// peakBoard is the planner's side of announced peaks; guarded by Planner.mu.
+type peakBoard struct {
+	book      *peaks.Book
+	ledger    *peaks.Ledger
+	followers map[string]*peaks.Follower // by peak
+	arrived   map[string]float64         // last count of an edge instance's peak and title
+	pending   map[string]float64         // arrivals since the last plan, by peak
+	told      *view.Holds
+	plan      *peaks.Plan
+	files     map[string]time.Time // announcement files by when they were read
+}
+
+func newBoard() peakBoard {
+	return peakBoard{book: peaks.NewBook(), ledger: peaks.NewLedger(), followers: map[string]*peaks.Follower{},
+		arrived: map[string]float64{}, pending: map[string]float64{}, plan: &peaks.Plan{}, files: map[string]time.Time{}}
+}
+
+func (p *Planner) known() peaks.Known {
+	k := peaks.Known{Zones: p.Site.Zones, Titles: map[string]bool{}}
+	for _, c := range p.Site.Classes {
+		k.Classes = append(k.Classes, c.Name)
+	}
+	for name := range p.watch.titles {
+		k.Titles[name] = true
+	}
+	return k
+}
+
+// announce takes one announcement and keeps the book on disk before it says so.
+func (p *Planner) announce(a peaks.Announcement) (bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed, err := p.board.book.Announce(a, p.known(), time.Now().UnixMilli())
+	if err != nil || !changed {
+		return changed, err
+	}
+	p.Log.Info("peak", "id", a.ID, "version", a.Version, "cancelled", a.Cancelled, "start_ms", a.Start, "rate", a.Rate)
+	return true, p.saveBook()
+}
+
+func (p *Planner) bookPath() string { return filepath.Join(p.State, "peaks.json") }
+
+func (p *Planner) saveBook() error {
+	if p.State == "" {
+		return nil
+	}
+	b, err := json.Marshal(p.board.book.List())
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(p.bookPath()+".new", b, 0o644); err != nil {
+		return fmt.Errorf("planner: %w", err)
+	}
+	return os.Rename(p.bookPath()+".new", p.bookPath())
+}
+
+// loadBook reads what an earlier planner was told. What is past is dropped, what is broken refused whole.
+func (p *Planner) loadBook() {
+	if p.State == "" {
+		return
+	}
+	b, err := os.ReadFile(p.bookPath())
+	if errors.Is(err, os.ErrNotExist) {
+		return
+	}
+	var list []peaks.Announcement
+	if err == nil {
+		err = json.Unmarshal(b, &list)
+	}
+	if err != nil {
+		p.Log.Error("announcements of before not read", "file", p.bookPath(), "error", err)
+		return
+	}
+	for _, a := range list {
+		if _, err := p.board.book.Announce(a, p.known(), time.Now().UnixMilli()); err != nil {
+			p.Log.Warn("announcement of before dropped", "id", a.ID, "error", err)
+		}
+	}
+}
+
+func (p *Planner) peakRoutes(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/peaks", func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		out := map[string]any{"peaks": p.board.book.List(), "holds": p.board.ledger.Held(), "accounts": p.board.ledger.Accounts(),
+			"plan": map[string]any{"by": p.board.plan.By, "value": p.board.plan.Value, "took_ms": p.board.plan.Took.Seconds() * 1000}}
+		p.mu.Unlock()
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(out)
+	})
+	mux.HandleFunc("PUT /v1/peaks/{id}", p.putPeak)
+	mux.HandleFunc("DELETE /v1/peaks/{id}", p.cancelPeak)
+	mux.HandleFunc("POST /v1/used", p.takeUse)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) error {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostBody))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return fmt.Errorf("body: %w", err)
+	}
+	return nil
+}
+
+func (p *Planner) putPeak(w http.ResponseWriter, r *http.Request) {
+	var a peaks.Announcement
+	err := readJSON(w, r, &a)
+	if err == nil && a.ID != r.PathValue("id") {
+		err = &peaks.FieldError{Field: "id", Why: "differs from the path's"}
+	}
+	changed := false
+	if err == nil {
+		changed, err = p.announce(a)
+	}
+	p.answerPeak(w, changed, err)
+}
+
+func (p *Planner) answerPeak(w http.ResponseWriter, changed bool, err error) {
+	switch {
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	case changed:
+		w.WriteHeader(http.StatusCreated)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// cancelPeak cancels with the next version.
+func (p *Planner) cancelPeak(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	a, ok := p.board.book.Get(r.PathValue("id"))
+	p.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such peak", http.StatusNotFound)
+		return
+	}
+	if a.Cancelled {
+		p.answerPeak(w, false, nil)
+		return
+	}
+	a.Version, a.Cancelled = a.Version+1, true
+	changed, err := p.announce(a)
+	p.answerPeak(w, changed, err)
+}
+
+// takeUse takes an edge's report. Arrivals are counted from one report to the next, so that one that is
+// lost or comes twice counts none twice.
+func (p *Planner) takeUse(w http.ResponseWriter, r *http.Request) {
+	var u view.Used
+	if err := readJSON(w, r, &u); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	uses := make([]peaks.Use, 0, len(u.Uses))
+	for _, x := range u.Uses {
+		uses = append(uses, peaks.Use{Key: peaks.Key{Peak: x.Peak, Title: x.Title, Box: x.Box}, Rate: x.Rate, Streams: x.Streams})
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := &p.board
+	if b.ledger.Report(u.Edge, u.Seq, time.Now().UnixMilli(), uses) {
+		for _, x := range u.Arrived {
+			k := u.Edge + "\x00" + peaks.PeakTitle(x.Peak, x.Title)
+			if last, seen := b.arrived[k]; seen && x.N > last {
+				b.pending[x.Peak] += x.N - last
+			}
+			b.arrived[k] = x.N
+		}
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// planning works plans out until ctx ends.
+func (p *Planner) planning(ctx context.Context) {
+	t := time.NewTicker(planEvery)
+	defer t.Stop()
+	solver := peaks.NewSolver(solveBudget)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		p.readFiles()
+		p.mu.Lock()
+		f, demands, coming := p.outlook(time.Now().UnixMilli())
+		p.mu.Unlock()
+		plan := &peaks.Plan{}
+		if len(demands) > 0 {
+			plan = p.solve(solver, f, demands)
+		}
+		p.mu.Lock()
+		p.board.plan = plan
+		p.board.ledger.SetPlan(plan.Holds)
+		p.board.ledger.Coming(coming)
+		p.tellHolds()
+		p.mu.Unlock()
+	}
+}
+
+func (p *Planner) solve(s *peaks.Solver, f *peaks.Fleet, demands []peaks.Demand) *peaks.Plan {
+	switch p.Holds {
+	case "none":
+		return &peaks.Plan{}
+	case "greedy":
+		return peaks.Greedy(f, demands)
+	}
+	plan, err := s.Plan(f, demands)
+	if err != nil {
+		p.Log.Warn("greedy plan stands in", "error", err)
+	}
+	return plan
+}
+
+// outlook is the fleet and what is expected of each peak. p.mu is held.
+func (p *Planner) outlook(now int64) (*peaks.Fleet, []peaks.Demand, map[string]float64) {
+	b := &p.board
+	b.book.Forget(now)
+	b.ledger.Expire(now - usedFor.Milliseconds())
+	var demands []peaks.Demand
+	coming := map[string]float64{}
+	for _, a := range b.book.List() {
+		fo := b.followers[a.ID]
+		if fo == nil {
+			fo = &peaks.Follower{}
+			b.followers[a.ID] = fo
+		}
+		fo.Saw(now, b.pending[a.ID], &a)
+		e := fo.Expect(now, &a)
+		if e.Rate <= 0 {
+			continue
+		}
+		rate := e.Rate / float64(len(a.Titles))
+		for _, name := range a.Titles {
+			d, secs := p.demand(&a, name, rate, e.Coming)
+			if d.Count > 0 {
+				demands = append(demands, d)
+				coming[peaks.PeakTitle(a.ID, name)] = rate * secs
+			}
+		}
+	}
+	clear(b.pending)
+	return p.planFleet(), demands, coming
+}
+
+// demand is what a title of a peak needs at once, and for how many seconds viewers still come.
+func (p *Planner) demand(a *peaks.Announcement, name string, rate float64, comes time.Duration) (peaks.Demand, float64) {
+	t, ok := p.watch.titles[name]
+	if !ok {
+		return peaks.Demand{}, 0
+	}
+	class := p.Site.Class(a.Class)
+	plays := float64(a.Session) / 1000
+	if plays <= 0 {
+		plays = float64(t.Length) / 1000
+	}
+	if plays <= 0 {
+		plays = 60
+	}
+	worth := a.Worth
+	if worth <= 0 {
+		worth = p.Site.Classes[class].Worth
+	}
+	return peaks.Demand{Peak: a.ID, Title: name, Class: class, Home: t.Home, Span: t.Span, Worth: worth,
+		Count: rate * min(plays, float64(a.Length)/1000)}, comes.Seconds()
+}
+
+// planFleet is the fleet as the watch sees it; what boxes carry beside peaks is what they report less
+// what edges report for peaks. p.mu is held.
+func (p *Planner) planFleet() *peaks.Fleet {
+	s := p.Site
+	f := &peaks.Fleet{Uplinks: make([]float64, s.Racks), Cells: s.Cells, Edges: len(s.Edges)}
+	for i := range f.Uplinks {
+		f.Uplinks[i] = float64(s.Links.Uplink)
+	}
+	for _, r := range s.Ladder {
+		f.Ladder, f.Worths = append(f.Ladder, float64(r.Rate)), append(f.Worths, r.Worth)
+	}
+	for _, k := range s.Classes {
+		c := peaks.Class{Factor: k.RateFactor, Floor: k.Floor, Top: len(s.Ladder) - 1, Worth: k.Worth, Seats: k.Seats}
+		if c.Factor <= 0 {
+			c.Factor = 1
+		}
+		if k.Top != nil {
+			c.Top = *k.Top
+		}
+		f.Classes = append(f.Classes, c)
+	}
+	accounts := p.board.ledger.PeakUse()
+	sizes := map[string]peaks.Size{}
+	now := time.Now()
+	for _, b := range p.now.Boxes {
+		if b.State != view.Ready {
+			continue
+		}
+		w := p.watch.boxes[b.ID]
+		if w == nil {
+			continue
+		}
+		x := peaks.Box{ID: b.ID, Rack: b.Rack, Cell: b.Cell, Link: b.Weight * float64(s.Links.PerWeight), Warm: warm(s, b.Started, now)}
+		if k := s.Kind(b.Kind); k >= 0 {
+			x.Streams = float64(s.Kinds[k].Streams)
+		}
+		u := accounts[b.ID]
+		x.Busy, x.Playing = max(w.link*x.Link-u.Rate, 0), max(w.streams-u.Streams, 0)
+		f.Boxes = append(f.Boxes, x)
+		sizes[b.ID] = peaks.Size{Rate: x.Link, Streams: x.Streams, OtherRate: x.Busy, OtherStreams: x.Playing}
+	}
+	p.board.ledger.Resize(sizes)
+	return f
+}
+
+// warm is the share of its capacity that a started box has reached.
+func warm(s *config.Site, startedMs int64, now time.Time) float64 {
+	ramp := s.Rules.Ramp.D()
+	age := now.Sub(time.UnixMilli(startedMs))
+	if startedMs == 0 || ramp <= 0 || age >= ramp {
+		return 1
+	}
+	return s.Rules.StartShare + (1-s.Rules.StartShare)*max(age.Seconds(), 0)/ramp.Seconds()
+}
+
+// tellHolds makes the holds in force known to the streams. p.mu is held.
+func (p *Planner) tellHolds() {
+	b := &p.board
+	h := &view.Holds{Lease: holdLease.Milliseconds()}
+	for _, x := range b.ledger.Held() {
+		h.Parts = append(h.Parts, view.Hold{Title: x.Title, Class: p.Site.Classes[x.Class].Name, Box: x.Box, Rate: x.Rate, Streams: x.Streams})
+	}
+	now := time.Now().UnixMilli()
+	for _, a := range b.book.List() {
+		if a.Cancelled || now < a.Start-a.Uncertain-countLead.Milliseconds() || now > a.Start+a.Uncertain+2*a.Length+countLead.Milliseconds() {
+			continue
+		}
+		for _, t := range a.Titles {
+			h.Count = append(h.Count, view.Count{Peak: a.ID, Title: t, Class: a.Class})
+		}
+	}
+	if len(h.Parts)+len(h.Count) == 0 && (b.told == nil || len(b.told.Parts)+len(b.told.Count) == 0) {
+		return
+	}
+	b.told = h
+	close(p.more)
+	p.more = make(chan struct{})
+}
+
+// readFiles takes announcements from the folder of Jsonnet files, each an object or a list. A file that
+// cannot be read changes nothing, and is read again when it was written again.
+func (p *Planner) readFiles() {
+	if p.Announcements == "" {
+		return
+	}
+	names, _ := filepath.Glob(filepath.Join(p.Announcements, "*.jsonnet"))
+	slices.Sort(names)
+	for _, name := range names {
+		st, err := os.Stat(name)
+		if err != nil || st.ModTime().Equal(p.board.files[name]) {
+			continue
+		}
+		p.board.files[name] = st.ModTime()
+		list, err := ReadAnnouncements(name)
+		if err == nil {
+			err = p.checkAll(list)
+		}
+		if err != nil {
+			p.Log.Error("announcement file not taken", "file", name, "error", err)
+			continue
+		}
+		for _, a := range list {
+			if _, err := p.announce(a); err != nil {
+				p.Log.Error("announcement not taken", "file", name, "id", a.ID, "error", err)
+			}
+		}
+	}
+}
+
+// checkAll finds the first fault of any, before one is taken.
+func (p *Planner) checkAll(list []peaks.Announcement) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, a := range list {
+		if err := a.Check(p.known(), time.Now().UnixMilli()); err != nil {
+			return fmt.Errorf("[%d]: %w", i, err)
+		}
+	}
+	return nil
+}
+
+// ReadAnnouncements reads a Jsonnet file: an object with a list under "peaks".
+func ReadAnnouncements(name string) ([]peaks.Announcement, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("planner: %w", err)
+	}
+	var f struct {
+		Peaks []peaks.Announcement `json:"peaks"`
+	}
+	if strings.TrimSpace(string(text)) == "" {
+		return nil, fmt.Errorf("planner: %s is empty", name)
+	}
+	err = config.Evaluate(name, string(text), map[string]string{"now_ms": fmt.Sprint(time.Now().UnixMilli())}, &f)
+	return f.Peaks, err
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"rainpulley/internal/cmsd"
 	"rainpulley/internal/config"
 	"rainpulley/internal/http1"
 	"rainpulley/internal/view"
@@ -19,9 +20,12 @@
 
 // Options of a planner.
 type Options struct {
-	Site     *config.Site
-	Listener net.Listener // nil: as the site says
-	Log      *slog.Logger
+	Site          *config.Site
+	Listener      net.Listener // nil: as the site says
+	Log           *slog.Logger
+	State         string // folder for what must outlive a restart; "" keeps nothing
+	Announcements string // folder of announcement files that is watched; "" none
+	Holds         string // "lp" (default), "greedy" or "none": how peaks' room is planned
 }
 
 // Planner is a running planner.
@@ -33,6 +37,7 @@
 	watch *Watch
 	now   view.View
 	more  chan struct{} // closed and replaced at each change
+	board peakBoard
 }
 
 // New makes a planner. Its versions begin at the time, so that a restarted one is above its forerunner.
@@ -45,6 +50,8 @@
 	for _, t := range o.Site.Titles {
 		p.watch.SetTitle(view.Title{Name: t.Name, Home: t.Home, Span: t.Span, Length: t.Length.D().Milliseconds()})
 	}
+	p.board = newBoard()
+	p.loadBook()
 	return p
 }
 
@@ -61,7 +68,10 @@
 		work.Add(1)
 		go func() { defer work.Done(); p.check(ctx, b.Addr, i) }()
 	}
+	work.Add(1)
+	go func() { defer work.Done(); p.planning(ctx) }()
 	mux := http.NewServeMux()
+	p.peakRoutes(mux)
 	mux.HandleFunc("GET /v1/stream", p.stream)
 	mux.HandleFunc("GET /v1/view", p.whole)
 	mux.HandleFunc("POST /v1/boxes/{id}/drain", func(w http.ResponseWriter, r *http.Request) { p.drain(w, r, true) })
@@ -146,6 +156,14 @@
 		return Check{}
 	}
 	c := Check{Answered: true, Draining: h.State == "draining", Boot: h.Boot}
+	if l := cmsd.Parse(r.Get("cmsd-dynamic")); l != nil {
+		if l.Link != nil {
+			c.Link = *l.Link
+		}
+		if l.Streams != nil {
+			c.Streams = *l.Streams
+		}
+	}
 	if h.StartedMs > 0 {
 		c.Started = time.UnixMilli(h.StartedMs)
 	}
@@ -167,7 +185,7 @@
 	defer beat.Stop()
 	for first := true; ; {
 		p.mu.Lock()
-		v, more := p.now, p.more
+		v, more, holds := p.now, p.more, p.board.told
 		p.mu.Unlock()
 		if v.Version == 0 { // nothing settled yet
 			select {
@@ -184,6 +202,7 @@
 		case v.Version != sent.Version:
 			l = view.Diff(sent, v)
 		}
+		l.Holds = holds
 		sent, first = v, false
 		_ = out.SetWriteDeadline(time.Now().Add(sendFor))
 		if enc.Encode(l) != nil || out.Flush() != nil {
--- a/internal/planner/watch.go
+++ b/internal/planner/watch.go
@@ -15,6 +15,8 @@
 	Draining bool
 	Boot     string    // changes when the box's process starts anew
 	Started  time.Time // zero: not told
+	Link     float64   // asked of its link over what it gives, as it reports
+	Streams  float64   // that it runs
 }
 
 // Watch turns checks into the view. It does no I/O and reads no clock: what to believe of checks is
@@ -34,6 +36,8 @@
 	misses int
 	boot   string
 	drain  bool // told by an operator, whatever the box says
+
+	link, streams float64 // last reported
 }
 
 // NewWatch begins with nothing known. Versions rise from first, which must be above those of an earlier
@@ -90,7 +94,7 @@
 		}
 		return
 	}
-	b.misses, b.known = 0, true
+	b.misses, b.known, b.link, b.streams = 0, true, c.Link, c.Streams
 	if c.Boot != b.boot || b.box.Started == 0 {
 		b.boot = c.Boot
 		if !c.Started.IsZero() {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -57,6 +57,55 @@
 	Boxes   []Box    `json:"boxes,omitempty"`
 	Titles  []Title  `json:"titles,omitempty"`
 	Removed []string `json:"removed_titles,omitempty"`
+	Holds   *Holds   `json:"holds,omitempty"` // replaces the holds told before
+}
+
+// Holds is the room that is kept for announced peaks, and what edges should count for the planner.
+// It lapses where it is not told again within its lease: lengths, not times, so that clocks may differ.
+type Holds struct {
+	Lease int64   `json:"lease_ms"`
+	Parts []Hold  `json:"parts,omitempty"`
+	Count []Count `json:"count,omitempty"`
+}
+
+// Hold is room on a box for one title and class, as yet unused by any edge.
+type Hold struct {
+	Title   string  `json:"title"`
+	Class   string  `json:"class"`
+	Box     string  `json:"box"`
+	Rate    float64 `json:"rate"` // kB/s
+	Streams float64 `json:"streams"`
+}
+
+// Count names a peak's title whose arrivals and use edges report.
+type Count struct {
+	Peak  string `json:"peak"`
+	Title string `json:"title"`
+	Class string `json:"class"`
+}
+
+// Used is what an edge reports. Arrived counts up from the edge's start.
+type Used struct {
+	Edge    string    `json:"edge"` // position.instance
+	Seq     uint64    `json:"seq"`
+	Uses    []Use     `json:"uses"`
+	Arrived []Arrived `json:"arrived"`
+}
+
+// Use is what sessions of a peak's title take on a box.
+type Use struct {
+	Peak    string  `json:"peak"`
+	Title   string  `json:"title"`
+	Box     string  `json:"box"`
+	Rate    float64 `json:"rate"` // kB/s
+	Streams float64 `json:"streams"`
+}
+
+// Arrived is how many first requests came for a peak's title.
+type Arrived struct {
+	Peak  string  `json:"peak"`
+	Title string  `json:"title"`
+	N     float64 `json:"n"`
 }
 
 // ErrGap says that changes do not follow on what is held; the whole view must be read.
@@ -78,6 +127,16 @@
 			return l, fmt.Errorf("view: box %q: state %q or cell %d makes no sense", x.ID, x.State, x.Cell)
 		}
 	}
+	if l.Holds != nil {
+		if l.Holds.Lease <= 0 {
+			return l, errors.New("view: holds without a lease")
+		}
+		for _, h := range l.Holds.Parts {
+			if !(h.Rate >= 0) || !(h.Streams >= 0) || h.Box == "" || h.Title == "" {
+				return l, fmt.Errorf("view: hold for %q on %q: rate %v or streams %v makes no sense", h.Title, h.Box, h.Rate, h.Streams)
+			}
+		}
+	}
 	for _, t := range l.Titles {
 		if t.Name == "" || t.Home < 0 || t.Span < 1 {
 			return l, fmt.Errorf("view: title %q: home %d or span %d makes no sense", t.Name, t.Home, t.Span)
