--- a/cmd/rainpulley/main.go
+++ b/cmd/rainpulley/main.go
@@ -186,18 +186,17 @@
 	if err != nil {
 		return err
 	}
-	policies := []string{"module"}
-	if c.Baseline && !serve {
-		policies = append(policies, "random")
-	}
-	results, errs := make([]*scenario.Result, len(policies)), make([]error, len(policies))
+	runs := plays(s, c.Baseline && !serve, serve)
+	results, errs := make([]*scenario.Result, len(runs)), make([]error, len(runs))
+	days := make([]*scenario.Run, len(runs))
 	var work sync.WaitGroup
-	for i, p := range policies {
+	for i, p := range runs {
 		work.Add(1)
 		go func() {
 			defer work.Done()
-			o := scenario.Options{Script: s, Seed: c.Seed, Policy: p, Command: []string{self}, Dir: filepath.Join(dir, p), Speed: c.Speed}
-			results[i], errs[i] = one(ctx, o, serve)
+			o := scenario.Options{Script: s, Seed: c.Seed, Policy: p.policy, Holds: p.holds, Command: []string{self},
+				Dir: filepath.Join(dir, p.name), Speed: c.Speed}
+			results[i], days[i], errs[i] = one(ctx, o, serve)
 		}()
 	}
 	over := make(chan struct{})
@@ -207,27 +206,70 @@
 		return err
 	}
 	r := results[0]
-	if len(results) > 1 {
-		b := results[1]
-		r.Baseline = &scenario.Short{Policy: b.Policy, Sessions: b.Sessions, Share: b.Share, Delivered: b.Delivered, Asked: b.Asked, Broken: b.Broken}
+	for i, p := range runs {
+		if b := results[i]; p.policy == "random" {
+			r.Baseline = &scenario.Short{Policy: b.Policy, Sessions: b.Sessions, Share: b.Share, Delivered: b.Delivered, Asked: b.Asked, Broken: b.Broken}
+		}
+	}
+	if len(s.Peaks) > 0 && !serve {
+		r.PeakResult = beside(results, days, runs)
 	}
 	r.Table(os.Stdout)
 	if r.Baseline != nil {
 		fmt.Printf("beside it, a random holder at the lowest rung: %.3f of worth asked\n", r.Baseline.Share)
 	}
+	if p := r.PeakResult; p != nil {
+		fmt.Printf("share of worth asked   all    peak   others\nholds, planned by LP   %.3f  %.3f  %.3f\nholds, greedy plan     %.3f  %.3f  %.3f\n"+
+			"no holds               %.3f  %.3f  %.3f\nbound (oracle)         %.3f\n", p.With, p.PeakWith, p.OthersWith, p.Greedy, p.PeakGreedy, p.OthersGr,
+			p.Without, p.PeakNo, p.OthersNo, p.Oracle)
+	}
 	line, err := json.Marshal(r)
 	if err != nil {
 		return err
 	}
 	fmt.Printf("%s\n", line)
-	if len(r.Broken) > 0 {
-		return fmt.Errorf("rules broken: %v", r.Broken)
+	for i, x := range results {
+		if runs[i].policy == "module" && len(x.Broken) > 0 {
+			return fmt.Errorf("rules broken (%s): %v", runs[i].name, x.Broken)
+		}
 	}
 	return nil
 }
 
+// kind is one way in which the day is played.
+type kind struct{ name, policy, holds string }
+
+// plays are the ways in which a day is played beside itself.
+func plays(s *scenario.Script, random, serve bool) []kind {
+	out := []kind{{"module", "module", "lp"}}
+	if len(s.Peaks) > 0 && !serve {
+		return append(out, kind{"no-holds", "module", "none"}, kind{"greedy", "module", "greedy"})
+	}
+	if random {
+		out = append(out, kind{"random", "random", "none"})
+	}
+	return out
+}
+
+// beside sets the ways of planning a peak beside each other.
+func beside(results []*scenario.Result, days []*scenario.Run, runs []kind) *scenario.PeakResult {
+	p := &scenario.PeakResult{Oracle: days[0].Bound()}
+	for i, k := range runs {
+		in, out := days[i].PeakShare()
+		switch k.holds {
+		case "lp":
+			p.With, p.PeakWith, p.OthersWith = results[i].Share, in, out
+		case "greedy":
+			p.Greedy, p.PeakGreedy, p.OthersGr = results[i].Share, in, out
+		case "none":
+			p.Without, p.PeakNo, p.OthersNo = results[i].Share, in, out
+		}
+	}
+	return p
+}
+
 // one plays a day with one policy.
-func one(ctx context.Context, o scenario.Options, serve bool) (*scenario.Result, error) {
+func one(ctx context.Context, o scenario.Options, serve bool) (*scenario.Result, *scenario.Run, error) {
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	r, err := scenario.Start(inner, o)
@@ -235,7 +277,7 @@
 		if r != nil {
 			r.Stop()
 		}
-		return nil, err
+		return nil, nil, err
 	}
 	if serve {
 		fmt.Printf("open in a player: %s\n", r.Address())
@@ -249,10 +291,10 @@
 	res := r.Result()
 	f, err := os.Create(filepath.Join(o.Dir, "entries.jsonl"))
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer f.Close()
-	return res, audit.Write(f, r.Entries())
+	return res, r, audit.Write(f, r.Entries())
 }
 
 // progress writes one line on standard error while the day goes on.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -255,8 +255,8 @@
 		}
 		return rate(text)
 	}
-	if f, ok := v.(float64); ok && to.Kind() == reflect.Int {
-		if f != float64(int(f)) {
+	if f, ok := v.(float64); ok && (to.Kind() == reflect.Int || to.Kind() == reflect.Int64 || to.Kind() == reflect.Uint64) {
+		if f != float64(int64(f)) {
 			return nil, fmt.Errorf("%v is no whole number", f)
 		}
 	}
--- a/internal/scenario/fault.go
+++ b/internal/scenario/fault.go
@@ -88,6 +88,10 @@
 		set(max(f.Size, 1), f.Size)
 		return func() { set(1, 0) }
 	}
+	if f.Kind == "drain_held" {
+		f.Kind = "drain"
+		return r.boxFault(f, []int{r.heldBox()})
+	}
 	return r.boxFault(f, some(rnd, len(r.fleet.Boxes), f.Part))
 }
 
--- /dev/null
+++ b/internal/scenario/peak.go
@@ -0,0 +1,203 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"rainpulley/internal/peaks"
+	"rainpulley/internal/standin"
+)
+
+// want is what a viewer wanted, for the bound.
+type want struct {
+	at     time.Duration
+	v      *standin.Viewer
+	peak   bool
+	report int
+}
+
+// announce tells the planner of the day's peaks.
+func (r *Run) announce() error {
+	now := time.Now()
+	for i, p := range r.Script.Peaks {
+		if p.Silent {
+			continue
+		}
+		rate := p.Told
+		if rate <= 0 {
+			rate = p.Rate
+		}
+		a := peaks.Announcement{ID: fmt.Sprint("peak-", i), Version: 1, Class: p.Class, Rate: rate * r.Speed, Session: int64(meanLength * 1000 / r.Speed),
+			Start: now.Add(time.Duration(float64(p.At.D()+p.Off.D()) / r.Speed)).UnixMilli(), Uncertain: p.Uncertain.D().Milliseconds(),
+			Length: int64(float64(p.Length.D().Milliseconds()) / r.Speed)}
+		for k := range p.Titles {
+			a.Titles = append(a.Titles, r.Site.Titles[p.First+k].Name)
+		}
+		b, err := json.Marshal(a)
+		if err != nil {
+			return err
+		}
+		q, err := http.NewRequest("PUT", "http://"+r.Site.Planner.Listen+"/v1/peaks/"+a.ID, bytes.NewReader(b))
+		if err != nil {
+			return err
+		}
+		resp, err := http.DefaultClient.Do(q)
+		if err != nil {
+			return fmt.Errorf("scenario: announce: %w", err)
+		}
+		text, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode/100 != 2 {
+			return fmt.Errorf("scenario: announce: %d %s", resp.StatusCode, text)
+		}
+	}
+	return nil
+}
+
+// peak lets a peak's viewers come.
+func (r *Run) peak(ctx context.Context, number int, p Peak, rnd *rand.Rand) {
+	if !r.wait(ctx, p.At.D()) || p.Rate <= 0 {
+		return
+	}
+	over := time.After(time.Duration(float64(p.Length.D()) / r.Speed))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-over:
+			return
+		case <-time.After(time.Duration(rnd.ExpFloat64() / (p.Rate * r.Speed) * float64(time.Second))):
+		}
+		v := r.viewer()
+		v.Class = r.Site.Class(p.Class)
+		v.Best = len(r.Site.Ladder) - 1
+		if t := r.Site.Classes[v.Class].Top; t != nil {
+			v.Best = *t
+		}
+		v.Patience = 0
+		v.Title = r.Site.Titles[p.First+rnd.IntN(p.Titles)].Name
+		r.come(ctx, v, true)
+	}
+}
+
+// heldBox is the box that holds most of the first peak's titles.
+func (r *Run) heldBox() int {
+	if len(r.Script.Peaks) == 0 {
+		return 0
+	}
+	p, most, best := r.Script.Peaks[0], -1, 0
+	for i, b := range r.Site.Boxes {
+		n := 0
+		for k := range p.Titles {
+			t := r.Site.Titles[p.First+k]
+			if ((b.Cell-t.Home)%r.Site.Cells+r.Site.Cells)%r.Site.Cells < t.Span {
+				n++
+			}
+		}
+		if n > most {
+			most, best = n, i
+		}
+	}
+	return best
+}
+
+// Bound is the share of the worth asked that no policy can beat, even one that knows who comes when: in
+// each second, what all viewers of that second want, fitted into all links taken as one, by the steps that
+// earn most for each kB/s. Holders, racks, streams, seats and the price of switches are left out, so that
+// the true best lies below it.
+func (r *Run) Bound() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	capacity, asked, got := r.fleet.Capacity(), 0.0, 0.0
+	const step = 0.25 // seconds
+	last := 0.0
+	for _, w := range r.wants {
+		last = max(last, (w.at + w.v.Length).Seconds())
+	}
+	type gain struct{ worth, kb float64 }
+	for t := step / 2; t < last; t += step {
+		var gains []gain
+		for _, w := range r.wants {
+			if t < w.at.Seconds() || t >= (w.at+w.v.Length).Seconds() {
+				continue
+			}
+			k := r.Site.Classes[w.v.Class]
+			worth, kb := 0.0, 0.0
+			for _, g := range hull(r, w.v.Class, k.Floor, w.v.Best) {
+				gains = append(gains, gain{g[0] - worth, g[1] - kb})
+				worth, kb = g[0], g[1]
+			}
+			asked += step * k.Worth * r.Site.Ladder[w.v.Best].Worth
+		}
+		slices.SortFunc(gains, func(a, b gain) int { return int(math.Copysign(1, b.worth*a.kb-a.worth*b.kb)) })
+		room := capacity
+		for _, g := range gains {
+			part := min(room/g.kb, 1)
+			got, room = got+step*part*g.worth, room-part*g.kb
+			if room <= 0 {
+				break
+			}
+		}
+	}
+	if asked == 0 {
+		return 0
+	}
+	return round(got / asked)
+}
+
+// hull is the upper hull of worth over kB/s from nothing to the best rung: what mixing rungs could earn.
+func hull(r *Run, class, floor, best int) (out [][2]float64) {
+	k := r.Site.Classes[class]
+	for i := floor; i <= best; i++ {
+		p := [2]float64{k.Worth * r.Site.Ladder[i].Worth, float64(r.Site.Ladder[i].Rate) * k.RateFactor}
+		for len(out) > 0 {
+			from := [2]float64{}
+			if len(out) > 1 {
+				from = out[len(out)-2]
+			}
+			mid := out[len(out)-1]
+			if (mid[0]-from[0])*(p[1]-from[1]) > (p[0]-from[0])*(mid[1]-from[1]) {
+				break
+			}
+			out = out[:len(out)-1]
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// PeakShare is the share of worth delivered of asked by viewers of peaks, and by the others.
+func (r *Run) PeakShare() (in, outside float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var asked, got [2]float64
+	for _, w := range r.wants {
+		i := 0
+		if w.peak {
+			i = 1
+		}
+		asked[i] += r.reports[w.report].Asked
+		got[i] += r.reports[w.report].Delivered
+	}
+	return round(got[1] / max(asked[1], 1e-9)), round(got[0] / max(asked[0], 1e-9))
+}
+
+// HoldsTold tells whether the planner's log speaks of peaks at all; for tests.
+func (r *Run) HoldsTold() (string, error) {
+	resp, err := http.Get("http://" + r.Site.Planner.Listen + "/v1/peaks")
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return strings.TrimSpace(string(b)), err
+}
--- a/internal/scenario/result.go
+++ b/internal/scenario/result.go
@@ -37,6 +37,22 @@
 	Verdict   *audit.Verdict `json:"audit"`
 	Bad       []string       `json:"players_could_not_follow"`
 	Baseline  *Short         `json:"baseline,omitempty"`
+
+	*PeakResult // where the day has peaks
+}
+
+// PeakResult sets the same day beside itself: shares of worth asked.
+type PeakResult struct {
+	With       float64 `json:"share_with"` // holds by linear programming
+	Without    float64 `json:"share_without"`
+	Greedy     float64 `json:"share_greedy"`
+	Oracle     float64 `json:"share_oracle"` // bound: all links as one, arrivals known
+	PeakWith   float64 `json:"peak_share_with"`
+	PeakNo     float64 `json:"peak_share_without"`
+	PeakGreedy float64 `json:"peak_share_greedy"`
+	OthersWith float64 `json:"others_share_with"`
+	OthersNo   float64 `json:"others_share_without"`
+	OthersGr   float64 `json:"others_share_greedy"`
 }
 
 // Short is what is kept of the policy that a day is compared with.
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -27,6 +27,7 @@
 	Script   *Script
 	Seed     uint64
 	Policy   string   // "module" or "random"
+	Holds    string   // how the planner holds room for peaks: "lp" (default), "greedy" or "none"
 	Command  []string // starts this program; "edge" or "planner" and flags follow
 	Dir      string   // for the site file, states and logs
 	Speed    float64  // the script's clock over the real one; 0: 1
@@ -50,6 +51,8 @@
 	reports []standin.Report
 	viewers sync.WaitGroup
 	faults  int
+	begun   time.Time
+	wants   []want
 }
 
 // process is one program of the fleet, started again under the same arguments.
@@ -124,7 +127,10 @@
 			return r, err
 		}
 	}
-	if err := r.add("planner", "planner", "--site", r.path); err != nil {
+	if r.Holds == "" {
+		r.Holds = "lp"
+	}
+	if err := r.add("planner", "planner", "--site", r.path, "--state", filepath.Join(o.Dir, "state"), "--holds", r.Holds); err != nil {
 		return r, err
 	}
 	for _, p := range r.procs {
@@ -132,7 +138,10 @@
 			return r, err
 		}
 	}
-	return r, r.waitReady(ctx)
+	if err := r.waitReady(ctx); err != nil {
+		return r, err
+	}
+	return r, r.announce()
 }
 
 func (r *Run) add(name string, args ...string) error {
@@ -170,6 +179,7 @@
 // Play goes through the script and waits for the last viewer.
 func (r *Run) Play(ctx context.Context) {
 	length := time.Duration(float64(r.Script.Length.D()) / r.Speed)
+	r.begun = time.Now()
 	day, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	var work sync.WaitGroup
@@ -179,6 +189,11 @@
 		work.Add(1)
 		go func() { defer work.Done(); r.play(ctx, f, rand.New(rand.NewPCG(seed, 1))) }()
 	}
+	for i, p := range r.Script.Peaks {
+		seed := r.rnd.Uint64()
+		work.Add(1)
+		go func() { defer work.Done(); r.peak(ctx, i, p, rand.New(rand.NewPCG(seed, 5))) }()
+	}
 	r.arrivals(day, ctx)
 	work.Wait()
 	r.viewers.Wait()
@@ -195,18 +210,24 @@
 			return
 		case <-time.After(time.Duration(r.rnd.ExpFloat64() / rate * float64(time.Second))):
 		}
-		v := r.viewer()
-		r.viewers.Add(1)
-		go func() {
-			defer r.viewers.Done()
-			rep := v.Run(ctx)
-			r.mu.Lock()
-			r.reports = append(r.reports, rep)
-			r.mu.Unlock()
-		}()
+		r.come(ctx, r.viewer(), false)
 	}
 }
 
+// come lets a viewer go through its session.
+func (r *Run) come(ctx context.Context, v *standin.Viewer, peak bool) {
+	at := time.Since(r.begun)
+	r.viewers.Add(1)
+	go func() {
+		defer r.viewers.Done()
+		rep := v.Run(ctx)
+		r.mu.Lock()
+		r.reports = append(r.reports, rep)
+		r.wants = append(r.wants, want{at, v, peak, len(r.reports) - 1})
+		r.mu.Unlock()
+	}()
+}
+
 func (r *Run) viewer() *standin.Viewer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -26,6 +26,22 @@
 	Load   float64         `json:"load"` // what viewers ask at the middle rate over what links give
 	Titles int             `json:"titles"`
 	Faults []Fault         `json:"faults"`
+	Peaks  []Peak          `json:"peaks"`
+}
+
+// Peak is an hour at which viewers come together. It is announced to the planner when the day begins,
+// for At + Off: a positive Off announces it late.
+type Peak struct {
+	Titles    int             `json:"titles"` // so many of the most wanted
+	First     int             `json:"first"`  // the first of them
+	Class     string          `json:"class"`
+	At        config.Duration `json:"at"`
+	Length    config.Duration `json:"length"`
+	Rate      float64         `json:"rate"`
+	Off       config.Duration `json:"off"`
+	Uncertain config.Duration `json:"uncertain"`
+	Told      float64         `json:"told"` // rate that is announced; 0: the true one
+	Silent    bool            `json:"silent"`
 }
 
 // Fault is one trouble. Part is a share of the boxes, edges or racks that it meets, Size its strength.
@@ -57,6 +73,7 @@
 	"burst":        "size times as many viewers come",
 	"hot_title":    "the share size of the viewers wants one title",
 	"kill_edge":    "edges are killed and come back after the time with their last list",
+	"drain_held":   "the box that holds most of the first peak's titles drains",
 	"kill_planner": "the planner is killed and comes back after the time",
 }
 
@@ -119,5 +136,13 @@
 		bad(f.At >= 0 && f.For >= 0 && f.At <= s.Length, "faults[%d]: at and for must lie in the day", i)
 		bad(f.Part >= 0 && f.Part <= 1 && f.Size >= 0, "faults[%d]: part is a share, size not negative", i)
 	}
+	for i, p := range s.Peaks {
+		bad(p.Titles > 0 && p.First >= 0 && p.First+p.Titles <= s.Titles, "peaks[%d].titles: some of %d", i, s.Titles)
+		bad(p.Rate >= 0 && p.Rate <= 1000 && p.Told >= 0, "peaks[%d].rate: 0 to 1000", i)
+		bad(p.At >= 0 && p.Length > 0 && p.At+p.Length <= s.Length, "peaks[%d]: must lie in the day", i)
+		bad(slices.Contains(classNames, p.Class), "peaks[%d].class: %q is none of %v", i, p.Class, classNames)
+	}
 	return s, errors.Join(errs...)
 }
+
+var classNames = []string{"round-play", "replay", "live-round"}
--- a/internal/scenario/site.go
+++ b/internal/scenario/site.go
@@ -83,7 +83,11 @@
 
 // seats: about twice what an edge usually has of the most wanted title.
 func seats(s *Script) int {
-	return max(int(2*0.35*s.Rate*meanLength/float64(s.Edges)*0.22), 3)
+	most := 3
+	for _, p := range s.Peaks { // an announced hour has seats enough for itself
+		most = max(most, int(1.5*p.Rate/float64(p.Titles)*meanLength/float64(s.Edges)))
+	}
+	return max(int(2*0.35*s.Rate*meanLength/float64(s.Edges)*0.22), most)
 }
 
 // portTaker finds free ports; all are held until free, so that none is found twice.
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -237,6 +237,16 @@
 	return (zone == b.fleet.cut) != (b.Zone == b.fleet.cut)
 }
 
+// Capacity is what all links give, in kB/s.
+func (f *Fleet) Capacity() (sum float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, b := range f.Boxes {
+		sum += b.link
+	}
+	return sum
+}
+
 // Sessions is how many a box runs.
 func (b *Box) Sessions() int {
 	b.fleet.mu.Lock()
