Announced sessions start at the rate that was planned for them; peaks told from usual traffic

Need: held room stayed unused, since its sessions started as low as any, and the follower took usual viewers of the titles for the peak, so that nothing was held in the hour. Newcomers with a hold may take the planned rate; a peak has begun only when a part of its rate is seen; the plan pays for room that others would rise into, and holds begin a third of a session ahead. Ports of stand-ins lie below those of outgoing connections (a box could not come back once).

--- a/cmd/rainpulley/main.go
+++ b/cmd/rainpulley/main.go
@@ -186,6 +186,7 @@
 	if err != nil {
 		return err
 	}
+	ports := &standin.Ports{}
 	runs := plays(s, c.Baseline && !serve, serve)
 	results, errs := make([]*scenario.Result, len(runs)), make([]error, len(runs))
 	days := make([]*scenario.Run, len(runs))
@@ -194,7 +195,7 @@
 		work.Add(1)
 		go func() {
 			defer work.Done()
-			o := scenario.Options{Script: s, Seed: c.Seed, Policy: p.policy, Holds: p.holds, Command: []string{self},
+			o := scenario.Options{Script: s, Seed: c.Seed, Policy: p.policy, Holds: p.holds, Command: []string{self}, Ports: ports,
 				Dir: filepath.Join(dir, p.name), Speed: c.Speed}
 			results[i], days[i], errs[i] = one(ctx, o, serve)
 		}()
--- a/control/control.go
+++ b/control/control.go
@@ -215,6 +215,16 @@
 	return kb, streams
 }
 
+// planned is the rate that a hold keeps on a server for each session like x; 0 where none does.
+func (c *Controller) planned(x *session, s *server) float64 {
+	for _, h := range s.kept {
+		if x.Class == h.Class && x.Title == h.Title && h.Streams > 0 {
+			return h.Rate / h.Streams
+		}
+	}
+	return 0
+}
+
 // rackHeld is the same for a rack's uplink.
 func (c *Controller) rackHeld(x *session, r *rack) (sum float64) {
 	if !c.holding {
@@ -555,6 +565,9 @@
 		link, _ := c.rooms(s, upTo, x)
 		_, uplink := c.rooms(s, riseTarget, x) // shared by many servers: more newcomers at once
 		room := min(link*part, uplink*max(part/4, 1/float64(c.set.Fronts)))
+		if kept := c.planned(x, s) - c.rate(x, x.rung); kept > 0 && c.rng.Float64()*step < kept {
+			room = min(link, uplink) // the room was kept for it: others do not take it meanwhile
+		}
 		if step > room && !c.swap(x, s, step-max(room, 0)) {
 			break
 		}
--- a/internal/peaks/follow.go
+++ b/internal/peaks/follow.go
@@ -8,9 +8,11 @@
 
 // What is believed of a peak that is announced for an hour, until it is seen to come.
 const (
-	lead       = 10 * time.Second // held so long before the earliest start: sessions that play make room as they end
-	enoughSeen = 3.0              // arrivals that tell a peak has begun, or this part of a second's rate
-	seenPart   = 0.5
+	leadPart   = 3 // held for this part of a session's length before the earliest start: others make room as they end
+	mostLead   = 20 * time.Second
+	enoughSeen = 3.0              // arrivals in the window that tell a peak has begun, at the least
+	earlyPart  = 0.3              // and this part of what is announced for the window: its titles are wanted
+	duePart    = 0.15             // at other times too; from the earliest start on, less will do
 	window     = 5 * time.Second  // arrivals are counted over this
 	lateGrace  = 20 * time.Second // after the latest start, it is given up by halves
 	halves     = 10 * time.Second
@@ -39,7 +41,11 @@
 	}
 	f.counts = append(f.counts, count{now, n})
 	f.total += n
-	if f.begun == 0 && f.recent() >= min(enoughSeen, seenPart*a.Rate) && now >= a.Start-a.Uncertain-60_000 {
+	part := earlyPart
+	if now >= a.Start-a.Uncertain {
+		part = duePart
+	}
+	if f.begun == 0 && f.recent() >= max(enoughSeen, part*a.Rate*window.Seconds()) && now >= a.Start-a.Uncertain-60_000 {
 		f.begun = now
 	}
 }
@@ -58,13 +64,13 @@
 }
 
 // Expect weighs the announcement against what was seen: a peak that is late is waited for, and given up
-// by halves; one that runs is believed at the rate that is seen, within bounds, for as long as announced.
-func (f *Follower) Expect(now int64, a *Announcement) Expect {
+// by halves; one that runs (its sessions play for so long each) is believed at the rate that is seen, within bounds, for as long as announced.
+func (f *Follower) Expect(now int64, a *Announcement, plays time.Duration) Expect {
 	if a.Cancelled {
 		return Expect{}
 	}
 	if f.begun == 0 {
-		if now < a.Start-a.Uncertain-lead.Milliseconds() {
+		if now < a.Start-a.Uncertain-min(plays/leadPart, mostLead).Milliseconds() {
 			return Expect{}
 		}
 		part := 1.0
--- a/internal/peaks/lp.go
+++ b/internal/peaks/lp.go
@@ -13,14 +13,15 @@
 // Solver works plans out by linear programming, within a budget of time. The program, for sessions n of
 // demand d at box b and rung r, and kB/s z taken from those playing at b:
 //
-//	maximise   sum worth(d) worth(r) n(d,b,r) - price sum z(b)
+//	maximise   sum (worth(d) worth(r) - price rate(d,r)) n(d,b,r) - price sum z(b)
 //	such that  sum over b, r of n(d,b,r) <= count(d)                      for each demand (within its seats)
 //	           sum over d, r of rate(d,r) n(d,b,r) - z(b) <= link room(b)  for each box
 //	           sum over d, r of n(d,b,r) <= streams left(b)                for each box where it can bind
 //	           sum in the rack of rate n - z <= uplink room                for each rack where it can bind
 //	           z(b) <= a share of what plays at b                          for each box
 //
-// Parts that share no box and no binding rack are solved apart. A solver that is still at work on an
+// The price is what a kB/s earns in the cheapest step of other sessions: held room is room that they do
+// not rise into. Parts that share no box and no binding rack are solved apart. A solver that is still at work on an
 // earlier plan is not started again: the greedy plan stands in.
 type Solver struct {
 	Budget time.Duration
@@ -217,7 +218,7 @@
 				f.addBox(p, b, price, link, streams, rack)
 			}
 			for r := k.Floor; r <= k.Top; r++ {
-				col := p.column(-dm.Worth * f.Worths[r])
+				col := p.column(price*f.rate(dm, r) - dm.Worth*f.Worths[r])
 				for len(vars) < col {
 					vars = append(vars, piece{demand: -1}) // columns of z
 				}
--- a/internal/planner/peaks.go
+++ b/internal/planner/peaks.go
@@ -254,7 +254,7 @@
 			b.followers[a.ID] = fo
 		}
 		fo.Saw(now, b.pending[a.ID], &a)
-		e := fo.Expect(now, &a)
+		e := fo.Expect(now, &a, p.plays(&a))
 		if e.Rate <= 0 {
 			continue
 		}
@@ -271,6 +271,18 @@
 	return p.planFleet(), demands, coming
 }
 
+// plays is how long a peak's sessions play, by its first title where it does not say.
+func (p *Planner) plays(a *peaks.Announcement) time.Duration {
+	n := a.Session
+	if n <= 0 && len(a.Titles) > 0 {
+		n = p.watch.titles[a.Titles[0]].Length
+	}
+	if n <= 0 {
+		return time.Minute
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
 // demand is what a title of a peak needs at once, and for how many seconds viewers still come.
 func (p *Planner) demand(a *peaks.Announcement, name string, rate float64, comes time.Duration) (peaks.Demand, float64) {
 	t, ok := p.watch.titles[name]
@@ -278,13 +290,7 @@
 		return peaks.Demand{}, 0
 	}
 	class := p.Site.Class(a.Class)
-	plays := float64(a.Session) / 1000
-	if plays <= 0 {
-		plays = float64(t.Length) / 1000
-	}
-	if plays <= 0 {
-		plays = 60
-	}
+	plays := p.plays(a).Seconds()
 	worth := a.Worth
 	if worth <= 0 {
 		worth = p.Site.Classes[class].Worth
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -26,11 +26,12 @@
 type Options struct {
 	Script   *Script
 	Seed     uint64
-	Policy   string   // "module" or "random"
-	Holds    string   // how the planner holds room for peaks: "lp" (default), "greedy" or "none"
-	Command  []string // starts this program; "edge" or "planner" and flags follow
-	Dir      string   // for the site file, states and logs
-	Speed    float64  // the script's clock over the real one; 0: 1
+	Ports    *standin.Ports // shared by runs of one process; nil: its own
+	Policy   string         // "module" or "random"
+	Holds    string         // how the planner holds room for peaks: "lp" (default), "greedy" or "none"
+	Command  []string       // starts this program; "edge" or "planner" and flags follow
+	Dir      string         // for the site file, states and logs
+	Speed    float64        // the script's clock over the real one; 0: 1
 	Quiet    bool
 	Progress io.Writer
 }
@@ -96,7 +97,10 @@
 
 // Start brings up boxes, relays, planner and edges, and waits until every edge has its view.
 func Start(ctx context.Context, o Options) (*Run, error) {
-	site, err := makeSite(o.Script)
+	if o.Ports == nil {
+		o.Ports = &standin.Ports{}
+	}
+	site, err := makeSite(o.Script, o.Ports)
 	if err != nil {
 		return nil, err
 	}
