--- a/cmd/rainpulley/main.go
+++ b/cmd/rainpulley/main.go
@@ -28,6 +28,7 @@
 	Replay  replay      `cmd:"" help:"Play a script file, at its own pace or compressed."`
 	Audit   auditCmd    `cmd:"" help:"Judge a recorded run by the six rules."`
 	Config  configCmd   `cmd:"" help:"Configuration."`
+	Peak    peakCmd     `cmd:"" help:"Announce hours to a planner."`
 	Standin standinCmd  `cmd:"" help:"Run the stand-in boxes of a site."`
 	Edge    cli.Edge    `cmd:"" help:"Run an edge, as rainpulley-edge does."`
 	Planner cli.Planner `cmd:"" help:"Run a planner, as rainpulley-planner does."`
@@ -36,7 +37,7 @@
 func main() {
 	var t tool
 	k := kong.Parse(&t, kong.Name("rainpulley"), kong.Description("Session front for HLS: the operators' tool."), kong.UsageOnError())
-	k.FatalIfErrorf(k.Run())
+	k.FatalIfErrorf(k.Run(&t))
 }
 
 type configCmd struct {
--- /dev/null
+++ b/cmd/rainpulley/peak.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"rainpulley/internal/peaks"
+	"rainpulley/internal/planner"
+)
+
+type peakCmd struct {
+	Planner string `help:"Planner's host:port." default:"127.0.0.1:9090"`
+
+	Add    peakAdd    `cmd:"" help:"Announce a peak, or change one by a higher version."`
+	List   peakList   `cmd:"" help:"List announced peaks."`
+	Show   peakShow   `cmd:"" help:"Show one peak with what is held for it."`
+	Cancel peakCancel `cmd:"" help:"Cancel a peak: its room is given back at once."`
+}
+
+// call sends a request to the planner; an answer other than 2xx is an error with the planner's words.
+func (c *peakCmd) call(method, path string, body []byte) (int, []byte, error) {
+	q, err := http.NewRequest(method, "http://"+c.Planner+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	client := &http.Client{Timeout: 5 * time.Second}
+	r, err := client.Do(q)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(r.Body, 64<<20))
+	if err == nil && r.StatusCode/100 != 2 {
+		err = fmt.Errorf("planner: %s", strings.TrimSpace(string(text)))
+	}
+	return r.StatusCode, text, err
+}
+
+type peakAdd struct {
+	ID        string        `arg:"" optional:"" help:"Name of the peak."`
+	File      string        `help:"Jsonnet file with a list under 'peaks', in place of the other flags." type:"existingfile"`
+	Version   uint64        `help:"A higher version replaces a lower one." default:"1"`
+	Titles    []string      `help:"Titles, with commas between."`
+	Class     string        `help:"Class of the sessions."`
+	Zone      string        `help:"Zone of the viewers; by default all."`
+	Start     time.Time     `help:"When they begin to come (RFC 3339)." format:"2006-01-02T15:04:05Z07:00"`
+	Uncertain time.Duration `help:"So much earlier or later."`
+	Rate      float64       `help:"New sessions a second."`
+	Length    time.Duration `help:"How long they keep coming."`
+	Session   time.Duration `help:"How long each plays; by default the title's length."`
+	Worth     float64       `help:"Of a second at a rung of worth 1; by default the class's."`
+}
+
+// Run announces.
+func (a *peakAdd) Run(c *tool) error {
+	list := []peaks.Announcement{{ID: a.ID, Version: a.Version, Titles: a.Titles, Class: a.Class, Zone: a.Zone, Start: a.Start.UnixMilli(),
+		Uncertain: a.Uncertain.Milliseconds(), Rate: a.Rate, Length: a.Length.Milliseconds(), Session: a.Session.Milliseconds(), Worth: a.Worth}}
+	if a.File != "" {
+		var err error
+		if list, err = planner.ReadAnnouncements(a.File); err != nil {
+			return err
+		}
+	}
+	for _, p := range list {
+		body, err := json.Marshal(p)
+		if err != nil {
+			return err
+		}
+		code, _, err := c.Peak.call("PUT", "/v1/peaks/"+url.PathEscape(p.ID), body)
+		if err != nil {
+			return fmt.Errorf("%s: %w", p.ID, err)
+		}
+		word := "announced"
+		if code == http.StatusNoContent {
+			word = "nothing new"
+		}
+		fmt.Printf("%s version %d: %s\n", p.ID, p.Version, word)
+	}
+	return nil
+}
+
+// board is what the planner tells of peaks.
+type board struct {
+	Peaks []peaks.Announcement
+	Holds []peaks.Hold
+	Plan  struct {
+		By     string
+		Value  float64
+		TookMs float64 `json:"took_ms"`
+	}
+}
+
+func (c *peakCmd) board() (b board, err error) {
+	_, text, err := c.call("GET", "/v1/peaks", nil)
+	if err == nil {
+		err = json.Unmarshal(text, &b)
+	}
+	return b, err
+}
+
+type peakList struct{}
+
+// Run lists.
+func (*peakList) Run(c *tool) error {
+	b, err := c.Peak.board()
+	if err != nil {
+		return err
+	}
+	held := map[string]peaks.Hold{}
+	for _, h := range b.Holds {
+		s := held[h.Peak]
+		s.Rate, s.Streams = s.Rate+h.Rate, s.Streams+h.Streams
+		held[h.Peak] = s
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "peak\tversion\tclass\ttitles\tstart\trate/s\tlength\theld kB/s\theld sessions")
+	for _, p := range b.Peaks {
+		start := time.UnixMilli(p.Start).Format(time.RFC3339)
+		if p.Cancelled {
+			start = "cancelled"
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\t%d\t%s\t%g\t%v\t%.0f\t%.1f\n", p.ID, p.Version, p.Class, len(p.Titles), start, p.Rate,
+			time.Duration(p.Length)*time.Millisecond, held[p.ID].Rate, held[p.ID].Streams)
+	}
+	return w.Flush()
+}
+
+type peakShow struct {
+	ID string `arg:"" help:"Name of the peak."`
+}
+
+// Run shows one.
+func (s *peakShow) Run(c *tool) error {
+	b, err := c.Peak.board()
+	if err != nil {
+		return err
+	}
+	for _, p := range b.Peaks {
+		if p.ID != s.ID {
+			continue
+		}
+		text, err := json.MarshalIndent(p, "", "  ")
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s\nplanned by %s in %.1f ms\n", text, b.Plan.By, b.Plan.TookMs)
+		for _, h := range b.Holds {
+			if h.Peak == s.ID {
+				fmt.Printf("%-21s %-16s %8.0f kB/s %6.1f sessions\n", h.Box, h.Title, h.Rate, h.Streams)
+			}
+		}
+		return nil
+	}
+	return fmt.Errorf("no peak %q", s.ID)
+}
+
+type peakCancel struct {
+	ID string `arg:"" help:"Name of the peak."`
+}
+
+// Run cancels.
+func (s *peakCancel) Run(c *tool) error {
+	code, _, err := c.Peak.call("DELETE", "/v1/peaks/"+url.PathEscape(s.ID), nil)
+	if err != nil {
+		return err
+	}
+	if code == http.StatusNoContent {
+		fmt.Printf("%s was cancelled before\n", s.ID)
+		return nil
+	}
+	fmt.Printf("%s cancelled\n", s.ID)
+	return nil
+}
--- a/internal/edge/handle.go
+++ b/internal/edge/handle.go
@@ -446,8 +446,8 @@
 	x.Header("Content-Type", "application/json")
 	t, v := &e.owner.Stats, e.fleet.Load().view
 	x.Out = fmt.Appendf(x.Out, `{"position":%d,"instance":%q,"view":%d,"boxes":%d,"titles":%d,"sessions":%d,"open":%d,`+
-		`"requests":%d,"turned_away":%d,"plays":%d,"refused":%d,"failed":%d,"attempts":%d,"further":%d,"overdue":%d,"notes_lost":%d}`+"\n",
+		`"requests":%d,"turned_away":%d,"plays":%d,"refused":%d,"failed":%d,"attempts":%d,"further":%d,"overdue":%d,"notes_lost":%d,"holds":%d}`+"\n",
 		e.Position, e.boot, v.Version, len(v.Boxes), len(v.Titles), e.table.size.Load(), t.Open.Load(), t.Requests.Load(),
 		t.TurnedAway.Load(), t.Plays.Load(), t.Refused.Load(), t.Failed.Load(), t.Attempts.Load(), t.Further.Load(),
-		t.Overdue.Load(), t.NotesLost.Load())
+		t.Overdue.Load(), t.NotesLost.Load(), e.holds.inForce())
 }
--- a/internal/edge/hold.go
+++ b/internal/edge/hold.go
@@ -15,7 +15,7 @@
 // holds is what this edge was told to keep for announced peaks, and what it counts for the planner.
 type holds struct {
 	mu      sync.Mutex
-	told    bool          // the module knows of some
+	told    int           // that the module knows of
 	expires time.Duration // by this edge's own clock
 	count   []view.Count
 	arrived map[string]float64 // first requests, by class and title
@@ -49,8 +49,8 @@
 	}
 	h := &e.holds
 	h.mu.Lock()
-	tell := h.told || len(out.Parts) > 0
-	h.told, h.expires, h.count = len(out.Parts) > 0, e.now()+time.Duration(t.Lease)*time.Millisecond, t.Count
+	tell := h.told+len(out.Parts) > 0
+	h.told, h.expires, h.count = len(out.Parts), e.now()+time.Duration(t.Lease)*time.Millisecond, t.Count
 	h.mu.Unlock()
 	if tell {
 		e.owner.Event(out)
@@ -61,9 +61,9 @@
 func (e *Edge) lapse() {
 	h := &e.holds
 	h.mu.Lock()
-	over := h.told && e.now() > h.expires
+	over := h.told > 0 && e.now() > h.expires
 	if over {
-		h.told = false
+		h.told = 0
 	}
 	h.mu.Unlock()
 	if over {
@@ -72,6 +72,13 @@
 	}
 }
 
+// inForce is how many holds the module knows of.
+func (h *holds) inForce() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.told
+}
+
 const reportEvery = time.Second
 
 // reportUse tells the planner what is used of peaks' room, while it asks for it.
--- a/internal/peaks/ledger.go
+++ b/internal/peaks/ledger.go
@@ -16,8 +16,14 @@
 	Streams float64 `json:"streams"`
 }
 
-// Size of a box: what its link gives in kB/s, its streams, and what sessions outside any peak take of both.
-type Size struct{ Rate, Streams, OtherRate, OtherStreams float64 }
+// Size of a box: what its link gives in kB/s, its streams, and what it says all sessions take of both.
+type Size struct{ Rate, Streams, Busy, Playing float64 }
+
+// others is what sessions outside any peak take: what the box says less what edges say of peaks. The two
+// words come at different moments, and must not count a session twice.
+func (s Size) others(u Use) (rate, streams float64) {
+	return max(s.Busy-u.Rate, 0), max(s.Playing-u.Streams, 0)
+}
 
 // Account is where a box's room stands: Held + Used + Free = Size. Free is below 0 where more is used
 // than there is; then nothing is held.
@@ -77,6 +83,9 @@
 	return true
 }
 
+// Drop forgets an edge: another instance stands in its place.
+func (l *Ledger) Drop(edge string) { delete(l.edges, edge) }
+
 // Expire drops reports older than a time.
 func (l *Ledger) Expire(before int64) {
 	for e, r := range l.edges {
@@ -100,9 +109,11 @@
 }
 
 // PeakUse is what sessions of peaks take on each box.
-func (l *Ledger) PeakUse() map[string]Use {
+func (l *Ledger) PeakUse() map[string]Use { return byBox(l.used()) }
+
+func byBox(used map[Key]Use) map[string]Use {
 	out := map[string]Use{}
-	for k, u := range l.used() {
+	for k, u := range used {
 		s := out[k.Box]
 		s.Rate, s.Streams = s.Rate+u.Rate, s.Streams+u.Streams
 		out[k.Box] = s
@@ -142,11 +153,10 @@
 // fit cuts holds down to what their boxes have left.
 func (l *Ledger) fit(holds []Hold, used map[Key]Use) {
 	rate, streams := map[string]float64{}, map[string]float64{}
+	use := byBox(used)
 	for b, s := range l.sizes {
-		rate[b], streams[b] = s.Rate-s.OtherRate, s.Streams-s.OtherStreams
-	}
-	for k, u := range used {
-		rate[k.Box], streams[k.Box] = rate[k.Box]-u.Rate, streams[k.Box]-u.Streams
+		kb, n := s.others(use[b])
+		rate[b], streams[b] = s.Rate-kb-use[b].Rate, s.Streams-n-use[b].Streams
 	}
 	held, heldStreams := map[string]float64{}, map[string]float64{}
 	for _, h := range holds {
@@ -168,14 +178,10 @@
 // Accounts are all boxes' accounts, of their links.
 func (l *Ledger) Accounts() map[string]Account {
 	out := map[string]Account{}
+	use := l.PeakUse()
 	for b, s := range l.sizes {
-		out[b] = Account{Size: s.Rate, Used: s.OtherRate}
-	}
-	for k, u := range l.used() {
-		if a, ok := out[k.Box]; ok {
-			a.Used += u.Rate
-			out[k.Box] = a
-		}
+		others, _ := s.others(use[b])
+		out[b] = Account{Size: s.Rate, Used: others + use[b].Rate}
 	}
 	for _, h := range l.Held() {
 		a := out[h.Box]
--- a/internal/planner/peaks.go
+++ b/internal/planner/peaks.go
@@ -33,6 +33,7 @@
 	followers map[string]*peaks.Follower // by peak
 	arrived   map[string]float64         // last count of an edge instance's peak and title
 	pending   map[string]float64         // arrivals since the last plan, by peak
+	instance  map[string]string          // of the edge at each position, as last heard
 	told      *view.Holds
 	plan      *peaks.Plan
 	files     map[string]time.Time // announcement files by when they were read
@@ -40,7 +41,7 @@
 
 func newBoard() peakBoard {
 	return peakBoard{book: peaks.NewBook(), ledger: peaks.NewLedger(), followers: map[string]*peaks.Follower{},
-		arrived: map[string]float64{}, pending: map[string]float64{}, plan: &peaks.Plan{}, files: map[string]time.Time{}}
+		arrived: map[string]float64{}, pending: map[string]float64{}, instance: map[string]string{}, plan: &peaks.Plan{}, files: map[string]time.Time{}}
 }
 
 func (p *Planner) known() peaks.Known {
@@ -186,6 +187,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := &p.board
+	position, _, _ := strings.Cut(u.Edge, ".")
+	if old := b.instance[position]; old != u.Edge { // restarted: what it took over it reports itself
+		b.ledger.Drop(old)
+		b.instance[position] = u.Edge
+	}
 	if b.ledger.Report(u.Edge, u.Seq, time.Now().UnixMilli(), uses) {
 		for _, x := range u.Arrived {
 			k := u.Edge + "\x00" + peaks.PeakTitle(x.Peak, x.Title)
@@ -338,7 +344,7 @@
 		u := accounts[b.ID]
 		x.Busy, x.Playing = max(w.link*x.Link-u.Rate, 0), max(w.streams-u.Streams, 0)
 		f.Boxes = append(f.Boxes, x)
-		sizes[b.ID] = peaks.Size{Rate: x.Link, Streams: x.Streams, OtherRate: x.Busy, OtherStreams: x.Playing}
+		sizes[b.ID] = peaks.Size{Rate: x.Link, Streams: x.Streams, Busy: w.link * x.Link, Playing: w.streams}
 	}
 	p.board.ledger.Resize(sizes)
 	return f
