A planner keeps drains and titles that it was told over kill and restart

Need: a drain told through the API was forgotten when the planner restarted, and new work would have gone to the box. Both are written, synced and renamed before the answer; what no longer fits the site is dropped with a log line, a torn file is not used. Test: drain, new title and removed title hold after a restart, refused ones change nothing.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -896,3 +896,41 @@
 	})
 	w.judge()
 }
+
+// A planner that is killed comes back with the drains and titles that it was told.
+func TestPlannerKeepsWhatItWasTold(t *testing.T) {
+	w := newWorld(t, 3, 1, func(s *config.Site) {
+		s.Titles = append(s.Titles, config.Title{Name: "extra", Span: 1, Length: sec(20)})
+	})
+	w.startEdge(0, 3)
+	box := w.fleet.Boxes[1].Addr
+	for _, c := range []struct {
+		method, path, body string
+		want               int
+	}{{"POST", "/v1/boxes/" + box + "/drain", "", 204}, {"POST", "/v1/boxes/127.0.0.1:1/drain", "", 404},
+		{"PUT", "/v1/titles/extra", `{"name":"extra","home":1,"span":2}`, 204}, {"PUT", "/v1/titles/extra", `{"name":"extra","home":9,"span":2}`, 400},
+		{"PUT", "/v1/titles/extra", `{"name":"extra"`, 400}, {"DELETE", "/v1/titles/clip", "", 204}} {
+		if code, text := w.call(c.method, c.path, c.body); code != c.want {
+			t.Errorf("%s %s: %d %s", c.method, c.path, code, text)
+		}
+	}
+	told := func() bool {
+		_, text := w.call("GET", "/v1/view", "")
+		return strings.Contains(text, `"state":"draining"`) && strings.Contains(text, `"name":"extra","home":1,"span":2`) && !strings.Contains(text, `"clip"`)
+	}
+	w.until("the view says so", told)
+	w.plan.end()
+	w.startPlanner()
+	w.until("its successor's view says so", told)
+	w.until("the edge plays the new title only", func() bool {
+		fresh, _ := w.get("http://" + w.site.Edges[0].Listen + "/play/extra/index.m3u8")
+		old, _ := w.play(0, "key=k1")
+		return fresh == 200 && old == 404
+	})
+	w.plan.end()
+	if err := os.WriteFile(filepath.Join(w.state, "told.json"), []byte("{"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	w.startPlanner() // a torn file is not used: the site file stands
+	w.until("the site's titles are back", func() bool { code, _ := w.play(0, "key=k2"); return code == 200 })
+}
--- a/internal/planner/peaks.go
+++ b/internal/planner/peaks.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -73,31 +72,13 @@
 	if p.State == "" {
 		return nil
 	}
-	b, err := json.Marshal(p.board.book.List())
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(p.bookPath()+".new", b, 0o644); err != nil {
-		return fmt.Errorf("planner: %w", err)
-	}
-	return os.Rename(p.bookPath()+".new", p.bookPath())
+	return keepFile(p.bookPath(), p.board.book.List())
 }
 
 // loadBook reads what an earlier planner was told. What is past is dropped, what is broken refused whole.
 func (p *Planner) loadBook() {
-	if p.State == "" {
-		return
-	}
-	b, err := os.ReadFile(p.bookPath())
-	if errors.Is(err, os.ErrNotExist) {
-		return
-	}
 	var list []peaks.Announcement
-	if err == nil {
-		err = json.Unmarshal(b, &list)
-	}
-	if err != nil {
-		p.Log.Error("announcements of before not read", "file", p.bookPath(), "error", err)
+	if p.State == "" || !p.readKept(p.bookPath(), &list) {
 		return
 	}
 	for _, a := range list {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,7 @@
 	now   view.View
 	more  chan struct{} // closed and replaced at each change
 	board peakBoard
+	told  told
 }
 
 // New makes a planner. Its versions begin at the time, so that a restarted one is above its forerunner.
@@ -51,6 +53,7 @@
 		p.watch.SetTitle(view.Title{Name: t.Name, Home: t.Home, Span: t.Span, Length: t.Length.D().Milliseconds()})
 	}
 	p.board = newBoard()
+	p.loadTold()
 	p.loadBook()
 	return p
 }
@@ -232,10 +235,22 @@
 func (p *Planner) drain(w http.ResponseWriter, r *http.Request, on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.watch.Drain(r.PathValue("id"), on) {
+	id := r.PathValue("id")
+	if p.watch.boxes[id] == nil {
 		http.Error(w, "no such box", http.StatusNotFound)
 		return
 	}
+	err := p.tell(func(t *told) {
+		t.Drains = slices.DeleteFunc(t.Drains, func(d string) bool { return d == id })
+		if on {
+			t.Drains = append(t.Drains, id)
+		}
+	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	p.watch.Drain(id, on)
 	p.publish()
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -253,6 +268,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if err := p.tell(func(x *told) { x.Titles[t.Name] = t }); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	p.watch.SetTitle(t)
 	p.publish()
 	w.WriteHeader(http.StatusNoContent)
