Two peaks over the same holders; a box's stream ends after twenty idle seconds in a row

Need: the case of two peaks that do not both fit had no test, and a stream that had been open for 20 s ended at the first idle moment. The dearer peak is served first by both plans, a cold holder takes its share, a gone one nothing.

--- a/internal/edge/boxes.go
+++ b/internal/edge/boxes.go
@@ -236,21 +236,11 @@
 	for b.e.ctx.Err() == nil {
 		opened := b.e.now()
 		ctx, cancel := context.WithCancel(b.e.ctx)
-		idle := time.AfterFunc(streamIdle, func() {
-			for ; ctx.Err() == nil; time.Sleep(time.Second) {
-				b.mu.Lock()
-				n := len(f.held)
-				b.mu.Unlock()
-				if n == 0 {
-					cancel()
-				}
-			}
-		})
+		b.e.goes(func() { b.endWhenIdle(ctx, cancel, f) })
 		ok, err := b.client.Lines(ctx, server, "/events?edge="+b.e.name(), streamQuiet, func(line []byte) error {
 			failures = 0
 			return b.line(server, f, opened, line)
 		})
-		idle.Stop()
 		idleOver := ctx.Err() != nil && b.e.ctx.Err() == nil
 		cancel()
 		if idleOver && b.forget(server, f) {
@@ -274,6 +264,26 @@
 	}
 }
 
+// endWhenIdle ends a stream after so long without sessions in a row.
+func (b *boxes) endWhenIdle(ctx context.Context, end context.CancelFunc, f *follower) {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for idle := time.Duration(0); idle < streamIdle; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		b.mu.Lock()
+		idle += time.Second
+		if len(f.held) > 0 {
+			idle = 0
+		}
+		b.mu.Unlock()
+	}
+	end()
+}
+
 // forget ends the following of a box without sessions.
 func (b *boxes) forget(server string, f *follower) bool {
 	b.mu.Lock()
--- a/internal/peaks/peaks_test.go
+++ b/internal/peaks/peaks_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -238,6 +239,33 @@
 	return p
 }
 
+// Two peaks want the same holders and do not both fit: the dearer one is served first, by both plans, and
+// cold or dead holders leave it to the others.
+func TestTwoPeaksOneRoom(t *testing.T) {
+	f := fleet(8)
+	for i := range f.Boxes {
+		f.Boxes[i].Busy, f.Boxes[i].Playing = 0, 0
+	}
+	d := []Demand{{Peak: "cheap", Title: "t", Home: 0, Span: 4, Count: 200, Worth: 1}, {Peak: "dear", Title: "u", Home: 0, Span: 4, Count: 60, Worth: 3}}
+	f.Boxes[0].Warm = 0.25
+	f.Boxes = slices.Delete(f.Boxes, 1, 2) // gone
+	for _, p := range []*Plan{Greedy(f, d), must(LP(f, d))} {
+		n, cold := map[string]float64{}, 0.0
+		for _, h := range p.Holds {
+			n[h.Peak] += h.Streams
+			if h.Box == "b000" {
+				cold += h.Streams
+			}
+			if h.Box == "b001" {
+				t.Errorf("%s holds on a box that is gone", p.By)
+			}
+		}
+		if n["dear"] < 40 || n["cheap"] > n["dear"]/4 || cold > 0.25*27+1e-3 {
+			t.Errorf("%s: %v, %.1f on the cold box", p.By, n, cold)
+		}
+	}
+}
+
 // A solver whose budget is spent gives the greedy plan, and the next plan is solved again.
 func TestSolverBudget(t *testing.T) {
 	f := fleet(40)
