The audit no longer takes a viewer's late give-up for an answer

Found on reading again: a viewer that hears nothing hangs up two seconds past its time, and that counted as if it had left by itself, so an unanswered request could not break the first rule. Unused fields removed.

--- a/internal/audit/rules.go
+++ b/internal/audit/rules.go
@@ -100,8 +100,8 @@
 	return p
 }
 
-// answers: every request that a running edge took has one answer, in time. A request is taken to be
-// answered when its viewer hung up first or its edge was killed.
+// answers: every request that a running edge took has one answer, in time. None is owed where the viewer
+// hung up before its time was over, or the edge was killed.
 func (c *checker) answers(es []Entry) {
 	open := map[string]Entry{}
 	kills := map[string][]int64{}
@@ -131,6 +131,8 @@
 				c.breach(NoSessionLost, e, "the connection ended without an answer")
 			case e.What == Answered && late > 0:
 				c.breach(NoSessionLost, e, "answered %d ms too late", late/1000)
+			case e.What == GaveUp && late > 0 && !killed: // it hung up because nothing had come in time
+				c.breach(NoSessionLost, e, "no answer when the viewer gave up, %d ms past its time", late/1000)
 			}
 		}
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -52,7 +52,6 @@
 	wall    time.Duration
 	boot    string
 	count   atomic.Uint64
-	keep    int
 	work    sync.WaitGroup
 	ctx     context.Context
 	peers   []net.Addr
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -24,16 +23,14 @@
 
 // Options of a run.
 type Options struct {
-	Script   *Script
-	Seed     uint64
-	Ports    *standin.Ports // shared by runs of one process; nil: its own
-	Policy   string         // "module" or "random"
-	Holds    string         // how the planner holds room for peaks: "lp" (default), "greedy" or "none"
-	Command  []string       // starts this program; "edge" or "planner" and flags follow
-	Dir      string         // for the site file, states and logs
-	Speed    float64        // the script's clock over the real one; 0: 1
-	Quiet    bool
-	Progress io.Writer
+	Script  *Script
+	Seed    uint64
+	Ports   *standin.Ports // shared by runs of one process; nil: its own
+	Policy  string         // "module" or "random"
+	Holds   string         // how the planner holds room for peaks: "lp" (default), "greedy" or "none"
+	Command []string       // starts this program; "edge" or "planner" and flags follow
+	Dir     string         // for the site file, states and logs
+	Speed   float64        // the script's clock over the real one; 0: 1
 }
 
 // Run is one running fleet.
