Reloads are judged too: each has its answer in time

Need: only first requests were in the audit, while a reload may wait for a new set-up and be lost there.

--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -41,6 +41,7 @@
 	BoxFell      = "box-fell"      // box: pushed over while cold
 	Told         = "told"          // relay: a line about box Who passed to edge Edge; Text is its state
 	Asked        = "asked"         // viewer: a request for a session went out; Value is its deadline in seconds
+	Reload       = "reload"        // text of a viewer's entries: of a playlist, not of the session
 	Answered     = "answered"      // viewer: the answer was read
 	Unanswered   = "unanswered"    // viewer: the connection ended without an answer
 	GaveUp       = "gave-up"       // viewer: it hung up first
--- a/internal/audit/rules.go
+++ b/internal/audit/rules.go
@@ -331,7 +331,7 @@
 	for _, e := range es {
 		p := position(e.Edge)
 		switch {
-		case e.Side == "viewer" && e.What == Asked:
+		case e.Side == "viewer" && e.What == Asked && e.Text != Reload: // most reloads are no request to the module
 			taken[p] = append(within(taken[p], e.T-span-orderSlack), e.T)
 		case e.Side == "box" && e.What == SetupArrived && e.Attempt > 0:
 			c.check(BudgetKept)
--- a/internal/standin/viewer.go
+++ b/internal/standin/viewer.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"rainpulley/internal/audit"
@@ -179,7 +180,7 @@
 	defer t.CloseIdleConnections()
 	p := &player{client: &http.Client{Transport: t, Timeout: v.Site.Classes[v.Class].Deadline.D() + time.Second}, content: -1, buffer: time.Now()}
 	for time.Now().Before(end) && ctx.Err() == nil {
-		code, text := p.get(ctx, "http://"+edge+uri)
+		code, text := v.reload(ctx, p, edge, uri)
 		if code != 200 {
 			if p.misses++; code == 404 || code == 410 || p.misses > 2 {
 				return ctx.Err() != nil
@@ -209,6 +210,33 @@
 	return true
 }
 
+// reload asks for the media playlist, and logs it for the audit as any request: one that waits for a new
+// set-up has its time too.
+func (v *Viewer) reload(ctx context.Context, p *player, edge, uri string) (int, string) {
+	class := v.Site.Classes[v.Class]
+	e := audit.Entry{Side: "viewer", Who: v.Key, Viewer: v.Key, Session: "r" + strconv.FormatInt(asks.Add(1), 10), Title: v.Title,
+		Class: class.Name, Value: class.Deadline.D().Seconds(), Text: audit.Reload}
+	for i, a := range v.Edges {
+		if a == edge {
+			e.Edge = strconv.Itoa(v.Position[i])
+		}
+	}
+	e.What = audit.Asked
+	v.Log.Add(e)
+	code, text, err := p.fetch(ctx, "http://"+edge+uri)
+	var late net.Error
+	switch e.Status = code; {
+	case err == nil:
+		e.What = audit.Answered
+	case errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil || errors.As(err, &late) && late.Timeout():
+		e.What = audit.GaveUp // nobody listens, or it hangs up: the time tells whether an answer was owed
+	default:
+		e.What = audit.Unanswered
+	}
+	v.Log.Add(e)
+	return code, text
+}
+
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -266,20 +294,25 @@
 }
 
 func (p *player) get(ctx context.Context, uri string) (int, string) {
+	code, text, _ := p.fetch(ctx, uri)
+	return code, text
+}
+
+func (p *player) fetch(ctx context.Context, uri string) (int, string, error) {
 	q, err := http.NewRequestWithContext(ctx, "GET", uri, nil)
 	if err != nil {
-		return 0, ""
+		return 0, "", err
 	}
 	r, err := p.client.Do(q)
 	if err != nil {
-		return 0, ""
+		return 0, "", err
 	}
 	defer r.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(r.Body, 4<<20))
 	if err != nil {
-		return 0, ""
+		return 0, "", err
 	}
-	return r.StatusCode, string(b)
+	return r.StatusCode, string(b), nil
 }
 
 // list is a media playlist as this viewer reads it, with no code of the front's.
