--- a/internal/cli/programs.go
+++ b/internal/cli/programs.go
@@ -2,6 +2,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -15,6 +16,7 @@
 	"rainpulley/internal/config"
 	"rainpulley/internal/core"
 	"rainpulley/internal/edge"
+	"rainpulley/internal/node"
 	"rainpulley/internal/planner"
 )
 
@@ -112,6 +114,29 @@
 	return e.Run(ctx)
 }
 
+// Node runs a front node of the platform.
+type Node struct {
+	Config   string `help:"File that holds the configuration." env:"NODE_CONFIG"`
+	Listen   string `help:"Address for viewers; by default the configuration's." env:"NODE_LISTEN"`
+	Name     string `help:"Name of this front node; by default the configuration's." env:"NODE_NAME"`
+	LogLevel string `help:"Least level that is logged: debug, info, warn or error." default:"warn" enum:"debug,info,warn,error" env:"NODE_LOG_LEVEL"`
+}
+
+// Run serves until a signal comes.
+func (c *Node) Run() error {
+	cfg, err := node.ReadConfig(c.Config)
+	if err != nil {
+		return err
+	}
+	cfg.Listen, cfg.Name = cmp.Or(c.Listen, cfg.Listen), cmp.Or(c.Name, cfg.Name)
+	node.Limits(cfg)
+	n, err := node.New(cfg, c.Config, Logging{LogLevel: c.LogLevel}.Logger("node").With("node", cfg.Name))
+	if err != nil {
+		return err
+	}
+	return n.Run(context.Background())
+}
+
 // Planner runs a planner.
 type Planner struct {
 	SiteFile
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -153,6 +153,7 @@
 	viewerLeft
 	playedOut
 	serverLost
+	serverEnded
 	adopted
 )
 
@@ -169,8 +170,12 @@
 	out      bool // an attempt is out
 	cancel   context.CancelCauseFunc
 	sent     time.Duration
+	early    []input // of the server tried, that came ahead of the end of its set-up
 }
 
+// mostEarly bounds what is kept of a server that says much before its set-up's end is known.
+const mostEarly = 8
+
 var (
 	errCancelled = errors.New("called off")
 	errTimedOut  = errors.New("no answer in time")
@@ -216,6 +221,12 @@
 	o.put(input{what: serverLost, server: server, sessions: ids})
 }
 
+// ServerEnded says that a server ended a session that it runs. It may be called as soon as the set-up's answer
+// is there: what comes ahead of it in the queue is kept until the session plays.
+func (o *Owner) ServerEnded(id, server string, how control.Outcome, l *control.Load) {
+	o.put(input{what: serverEnded, id: id, server: server, result: Result{Outcome: how, Load: l}})
+}
+
 // Event tells the module a list, a probe's result or a message.
 func (o *Owner) Event(e control.Event) { o.put(input{event: e}) }
 
@@ -294,22 +305,22 @@
 func (o *Owner) take(in input) {
 	switch in.what {
 	case anEvent:
+		if n, ok := in.event.(control.Note); ok && !o.noteDue(n, in) {
+			return
+		}
 		o.tell(in.event)
 	case aRequest:
 		o.begin(in.request)
 	case attemptEnded:
 		o.attemptEnded(in)
 	case adopted:
-		r := in.request
-		o.open[r.ID] = r
-		o.Stats.Open.Add(1)
-		o.Log.Info("session taken over", "session", r.ID, "server", r.server, "rung", r.rung)
-		o.tell(r.Request)
-		o.tell(control.Note{ID: r.ID, Server: r.server, Kind: control.NoteRung, Value: float64(r.rung)})
+		o.adopt(in.request)
 	case viewerLeft:
 		o.left(in.id)
 	case playedOut:
 		o.end(in.id, control.Served)
+	case serverEnded:
+		o.serverEnded(in)
 	case serverLost:
 		for _, id := range in.sessions {
 			if r := o.open[id]; r != nil && r.server == in.server {
@@ -319,6 +330,55 @@
 	}
 }
 
+// adopt counts a session once: one that is open already stays as it is.
+func (o *Owner) adopt(r *request) {
+	if o.open[r.ID] != nil {
+		r.listener.Closed()
+		return
+	}
+	o.open[r.ID] = r
+	o.Stats.Open.Add(1)
+	o.Log.Info("session taken over", "session", r.ID, "server", r.server, "rung", r.rung)
+	o.tell(r.Request)
+	if r.rung >= 0 {
+		o.tell(control.Note{ID: r.ID, Server: r.server, Kind: control.NoteRung, Value: float64(r.rung)})
+	}
+}
+
+// noteDue keeps a note that came ahead of its session's start, and takes the rung that the server has in force.
+func (o *Owner) noteDue(n control.Note, in input) bool {
+	r := o.open[n.ID]
+	if r == nil || r.server != n.Server {
+		return true
+	}
+	if r.out {
+		r.keep(in)
+		return false
+	}
+	if n.Kind == control.NoteRung && n.Value >= 0 && n.Value < 1<<16 {
+		r.rung = int(n.Value)
+	}
+	return true
+}
+
+func (r *request) keep(in input) {
+	if len(r.early) < mostEarly {
+		r.early = append(r.early, in)
+	}
+}
+
+// serverEnded closes a session that its server ended; it is not released there any more.
+func (o *Owner) serverEnded(in input) {
+	r := o.open[in.id]
+	switch {
+	case r == nil || r.server != in.server:
+	case r.out:
+		r.keep(in)
+	case r.playing:
+		o.finish(r, in.result.Outcome, in.result.Load)
+	}
+}
+
 func (o *Owner) begin(r *request) {
 	if o.open[r.ID] != nil {
 		o.Log.Error("request id seen before", "session", r.ID)
@@ -341,6 +401,8 @@
 	}
 	r.out = false
 	r.cancel(nil)
+	early := r.early
+	r.early = nil
 	e := control.Ended{ID: r.ID, Server: in.server, Attempt: in.attempt, Outcome: in.result.Outcome, Took: in.took,
 		Load: in.result.Load, Final: r.answered || r.gone}
 	if e.Outcome == control.Served && !e.Final {
@@ -348,6 +410,9 @@
 		o.tell(control.Started{ID: r.ID, Server: in.server, Attempt: in.attempt, Took: in.took})
 		o.noteSetUp(r, in)
 		o.answer(r, Answer{Kind: Plays, Server: in.server, Rung: r.rung, Attempt: in.attempt, Setup: in.result.Setup})
+		for _, in := range early {
+			o.take(in)
+		}
 		return
 	}
 	if e.Outcome == control.Served { // nobody waits for it any more
@@ -403,10 +468,16 @@
 	if how != control.Reset {
 		o.Carrier.Release(id, r.server, r.attempts-1)
 	}
-	o.Log.Info("session ended", "session", id, "server", r.server, "outcome", Name(how))
+	o.finish(r, how, nil)
+}
+
+// finish tells viewer and module that a session no longer plays.
+func (o *Owner) finish(r *request, how control.Outcome, l *control.Load) {
+	o.Log.Info("session ended", "session", r.ID, "server", r.server, "outcome", Name(how))
 	r.listener.Ended(how, false)
 	o.forget(r)
-	o.tell(control.Ended{ID: id, Server: r.server, Attempt: r.attempts - 1, Outcome: how, Took: o.Now() - r.sent, Final: true})
+	o.tell(control.Ended{ID: r.ID, Server: r.server, Attempt: r.attempts - 1, Outcome: how, Took: o.Now() - r.sent, Final: true,
+		Load: l})
 }
 
 func (o *Owner) forget(r *request) {
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,150 @@
+// Package node runs the program as a front node of the platform: RTSP from viewers, JSON lines to servers, the
+// coordinator by long poll, all on core.Owner and the same decision module as every other front. It decides
+// nothing about sessions.
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"rainpulley/control"
+	"rainpulley/internal/bound"
+	"rainpulley/internal/coordinator"
+	"rainpulley/internal/wire"
+)
+
+// Config is what a front node is told at start.
+type Config struct {
+	Name, Listen, Coordinator string
+	Seed                      uint64
+	Cores                     float64
+	MemoryMB, Sockets         int
+	Known                     coordinator.Updates
+	Set                       control.Settings
+	Platform                  wire.Platform
+}
+
+// ReadConfig reads the file that NODE_CONFIG names.
+func ReadConfig(path string) (*Config, error) {
+	if path == "" {
+		return nil, errors.New("NODE_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("NODE_CONFIG: %w", err)
+	}
+	c, err := parseConfig(raw)
+	if err != nil {
+		return nil, fmt.Errorf("NODE_CONFIG %s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parseConfig(raw []byte) (*Config, error) {
+	var f struct {
+		Name, Listen, Seed, Coordinator string
+		Limits                          struct {
+			Cores    float64 `json:"cores"`
+			MemoryMB int     `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+		}
+		Known    coordinator.Updates
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return nil, place(raw, err)
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Coordinator: f.Coordinator, Cores: f.Limits.Cores,
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known}
+	for _, a := range []struct{ field, addr string }{{"listen", f.Listen}, {"coordinator", f.Coordinator}} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return nil, fmt.Errorf("%s: %w", a.field, err)
+		}
+	}
+	if !(c.Cores > 0) || c.MemoryMB <= 0 || c.Sockets < leastSockets {
+		return nil, fmt.Errorf("limits: cores and memory_mb must be positive, sockets at least %d", leastSockets)
+	}
+	var err error
+	if f.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %w", err)
+		}
+	}
+	if len(f.Settings) == 0 {
+		return nil, errors.New("settings: missing")
+	}
+	if c.Set, err = wire.Settings(f.Settings); err != nil {
+		return nil, err
+	}
+	if c.Platform, err = wire.ReadPlatform(f.Settings); err != nil {
+		return nil, err
+	}
+	if len(c.Set.Classes) == 0 || len(c.Set.Ladder) == 0 {
+		return nil, errors.New("settings: profiles and familyInfo.ladderKb need one entry at least")
+	}
+	if c.Platform.ConnectTimeout <= 0 {
+		c.Platform.ConnectTimeout = 250 * time.Millisecond
+	}
+	if len(c.Known.Updates) == 0 {
+		return nil, errors.New("known: no list of servers")
+	}
+	return c, nil
+}
+
+// place names the line and field of a mistake.
+func place(raw []byte, err error) error {
+	at := int64(-1)
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		at = syntax.Offset
+	case errors.As(err, &kind):
+		at = kind.Offset
+	}
+	if at < 0 || at > int64(len(raw)) {
+		return err
+	}
+	line := 1
+	for _, c := range raw[:at] {
+		if c == '\n' {
+			line++
+		}
+	}
+	return fmt.Errorf("line %d, byte %d: %w", line, at, err)
+}
+
+// servers translates an update's entries. One that names an unknown zone, kind or state, or no id or address,
+// makes the whole update unreadable: half a list is worse than the one before.
+func (c *Config) servers(entries []coordinator.Entry) ([]control.Server, error) {
+	out := make([]control.Server, len(entries))
+	states := map[string]control.State{"up": control.Ready, "draining": control.Draining, "removed": control.Gone}
+	for i, e := range entries {
+		s := control.Server{ID: e.ID, Cell: e.Cell, Weight: e.Weight, Started: bound.Moment(e.Started), Zone: -1, Kind: -1}
+		state, known := states[e.State]
+		if e.ID == "" || !known {
+			return nil, fmt.Errorf("servers[%d]: id %q, state %q", i, e.ID, e.State)
+		}
+		s.State = state
+		for n, name := range c.Platform.Zones {
+			if name == e.Zone {
+				s.Zone = n
+			}
+		}
+		for n, name := range c.Platform.Kinds {
+			if name == e.Kind {
+				s.Kind = n
+			}
+		}
+		if _, _, err := net.SplitHostPort(e.Addr); state != control.Gone && (err != nil || s.Zone < 0 || s.Kind < 0) {
+			return nil, fmt.Errorf("servers[%d]: %s: address %q, zone %q, kind %q", i, e.ID, e.Addr, e.Zone, e.Kind)
+		}
+		out[i] = s
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,227 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"rainpulley/control"
+	"rainpulley/internal/coordinator"
+	"rainpulley/internal/core"
+)
+
+// Node is one running front node.
+type Node struct {
+	Config  *Config
+	Path    string // of the configuration, read again at SIGHUP
+	Log     *slog.Logger
+	owner   *core.Owner
+	pool    *pool
+	viewers *viewers
+	follow  *coordinator.Follower
+	base    time.Time
+	wall    time.Duration
+	work    sync.WaitGroup
+
+	mu       sync.Mutex
+	sessions map[string]*session // that wait or stand, by id
+}
+
+const (
+	leastSockets  = 64
+	socketSlack   = 50 * time.Millisecond  // every time limit is so much longer on sockets
+	stillArriving = 700 * time.Millisecond // after SIGTERM requests still come so long
+	mostQueued    = 1024
+)
+
+// New makes a front node.
+func New(c *Config, path string, log *slog.Logger) (*Node, error) {
+	n := &Node{Config: c, Path: path, Log: log, base: time.Now(), sessions: map[string]*session{}}
+	n.wall = time.Duration(n.base.UnixNano())
+	d, err := control.New(c.Set, c.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	n.pool = newPool(n, c.Sockets*3/8)
+	n.viewers = newViewers(n, c.Sockets/2)
+	n.owner = core.New(core.Options{Queue: mostQueued, Most: c.Set.MaxAttempts, Slack: c.Platform.AnswerSlack + socketSlack,
+		Budget: core.Budget{Span: c.Set.BudgetSpan, Share: c.Set.BudgetShare}, Log: log, Decider: d, Carrier: n.pool, Now: n.now})
+	n.follow = coordinator.New(c.Coordinator, c.Platform.ConnectTimeout, log, n.take)
+	return n, nil
+}
+
+// Limits has the runtime keep to a front node's limits.
+func Limits(c *Config) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
+	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
+}
+
+// now is Unix time that never steps back while the node runs.
+func (n *Node) now() time.Duration { return n.wall + time.Since(n.base) }
+
+// patience is what a context leaves.
+func (n *Node) patience(ctx context.Context) time.Duration {
+	if d, ok := ctx.Deadline(); ok {
+		return time.Until(d)
+	}
+	return 0
+}
+
+func (n *Node) goes(f func()) {
+	n.work.Go(f)
+}
+
+// take brings updates of the list to pool and module.
+func (n *Node) take(updates []coordinator.Update) error { return n.update(updates, false) }
+
+func (n *Node) update(updates []coordinator.Update, cached bool) error {
+	lists := make([][]control.Server, len(updates))
+	for i, u := range updates { // all are read before any is believed
+		if u.Endpoints != nil {
+			var err error
+			if lists[i], err = n.Config.servers(u.Endpoints.Servers); err != nil {
+				return err
+			}
+		}
+	}
+	for i, u := range updates {
+		if u.Endpoints == nil {
+			continue
+		}
+		addr := map[string]string{}
+		for _, e := range u.Endpoints.Servers {
+			addr[e.ID] = e.Addr
+		}
+		n.pool.update(lists[i], addr, u.Endpoints.Full)
+		n.owner.Event(control.ListUpdate{Whole: u.Endpoints.Full || cached && i == 0, Cached: cached, Servers: lists[i]})
+		n.Log.Debug("list", "whole", u.Endpoints.Full, "servers", len(lists[i]))
+	}
+	return nil
+}
+
+// Run serves until SIGTERM and what is owed after it.
+func (n *Node) Run(ctx context.Context) error {
+	term, stopTerm := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stopTerm()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	if err := n.update(n.Config.Known.Updates, true); err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	ownerOver := make(chan struct{})
+	go func() { n.owner.Run(inner); close(ownerOver) }()
+	n.pool.connectAll(inner)
+	l, err := net.Listen("tcp", n.Config.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	n.goes(func() { n.follow.Run(inner, n.Config.Known.Index) })
+	n.goes(func() { n.pool.keepUp(inner) })
+	n.goes(func() { n.reloads(inner, hangup) })
+	n.goes(func() { _ = n.viewers.serve(l) })
+	n.Log.Info("ready", "name", n.Config.Name, "listen", n.Config.Listen)
+	<-term.Done()
+	n.leave()
+	_ = l.Close()
+	stop()
+	<-ownerOver
+	n.viewers.closeAll()
+	return nil
+}
+
+// leave ends a front node's service: what still arrives is served, and it goes when all is answered.
+func (n *Node) leave() {
+	n.Log.Info("leaving")
+	time.Sleep(stillArriving)
+	deadline := time.Now().Add(n.longest())
+	for time.Now().Before(deadline) && n.waiting() > 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// longest is the longest deadline of a class.
+func (n *Node) longest() (d time.Duration) {
+	for _, k := range n.Config.Set.Classes {
+		d = max(d, k.Deadline)
+	}
+	return min(d, 3*time.Second)
+}
+
+// waiting counts set-ups that are owed an answer.
+func (n *Node) waiting() (count int) {
+	v := n.viewers
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for c := range v.all {
+		c.mu.Lock()
+		count += len(c.open)
+		c.mu.Unlock()
+	}
+	return count
+}
+
+// reloads takes a new coordinator's address at SIGHUP. A file that cannot be read changes nothing.
+func (n *Node) reloads(ctx context.Context, hangup <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		}
+		c, err := ReadConfig(n.Path)
+		if err != nil {
+			n.Log.Error("configuration not reloaded, the one before stays", "error", err)
+			continue
+		}
+		n.Log.Info("configuration reloaded", "coordinator", c.Coordinator)
+		n.follow.Move(c.Coordinator)
+	}
+}
+
+// begin enters a set-up; false if its id is open.
+func (n *Node) begin(s *session) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.sessions[s.id] != nil {
+		return false
+	}
+	n.sessions[s.id] = s
+	return true
+}
+
+func (n *Node) find(id string) *session {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sessions[id]
+}
+
+func (n *Node) forget(s *session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.sessions[s.id] == s {
+		delete(n.sessions, s.id)
+	}
+}
+
+// adopt takes over a session that plays already; one that is held stays as it is.
+func (n *Node) adopt(r control.Request, s *session) {
+	if !n.begin(s) {
+		return
+	}
+	if !n.pool.adopt(r.ID, r.Server) {
+		n.Log.Debug("session at an unknown server", "session", r.ID, "server", r.Server)
+	}
+	n.owner.Adopt(r, -1, s)
+}
--- /dev/null
+++ b/internal/node/session.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"strconv"
+	"sync"
+
+	"rainpulley/control"
+	"rainpulley/internal/core"
+	"rainpulley/internal/jsonlines"
+	"rainpulley/internal/rtsp"
+)
+
+// session is one set-up of a viewer, and what it becomes. It hears of it on the owner's goroutine.
+type session struct {
+	n              *Node
+	id             string
+	uri            string
+	cseq           string
+	className, key string
+	text           string // the viewer's description
+	adopted        bool
+
+	mu   sync.Mutex
+	conn *viewer // that the set-up came on
+	left bool    // the viewer ended it
+}
+
+// Answered passes on the one answer. A viewer that cannot be told has left.
+func (s *session) Answered(a core.Answer) {
+	status, after, body := 504, "", []byte(nil)
+	switch a.Kind {
+	case core.Plays:
+		text, _ := a.Setup.(string)
+		status, body = 200, []byte(text)
+	case core.Refused:
+		status = 453
+		if a.After > 0 {
+			after = strconv.FormatInt(a.After.Milliseconds(), 10)
+		}
+	}
+	s.mu.Lock()
+	c, left := s.conn, s.left
+	s.mu.Unlock()
+	c.answered(s)
+	if left {
+		return
+	}
+	told := c.out.put(func(b []byte) []byte {
+		return rtsp.AppendResponse(b, status, []string{"CSeq", s.cseq, "Session", s.id, "X-Pause", after}, body)
+	})
+	if !told && a.Kind == core.Plays {
+		go s.n.owner.Leave(s.id) // not from the owner's goroutine, which would wait for itself
+	}
+}
+
+// Rung concerns the server only.
+func (s *session) Rung(int) {}
+
+// Ended releases a viewer whose session is over, unless it ended it itself.
+func (s *session) Ended(o control.Outcome, moved bool) {
+	s.mu.Lock()
+	left := s.left
+	s.mu.Unlock()
+	if left || o == control.Cancelled && !moved {
+		return
+	}
+	cause := jsonlines.CauseReset
+	if o == control.Served {
+		cause = jsonlines.CauseEnd
+	}
+	s.n.tell(s, func(b []byte) []byte {
+		if moved {
+			return rtsp.AppendRequest(b, "REDIRECT", s.uri, []string{"CSeq", "4", "Session", s.id}, nil)
+		}
+		return rtsp.AppendRequest(b, "TEARDOWN", s.uri, []string{"CSeq", "2", "Session", s.id,
+			"Reason", "cause=" + strconv.Itoa(cause)}, nil)
+	})
+}
+
+// Closed forgets it.
+func (s *session) Closed() { s.n.forget(s) }
+
+// leave marks that the viewer wants it no more.
+func (s *session) leave() {
+	s.mu.Lock()
+	s.left = true
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/internal/node/setup.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"rainpulley/control"
+	"rainpulley/internal/rtsp"
+)
+
+const (
+	addresses    = "rtsp://media/"
+	longestTimer = 10 * time.Minute
+	longestGuess = 24 * time.Hour
+)
+
+// isID tells 16 hex digits.
+func isID(s string) bool {
+	if len(s) != 16 {
+		return false
+	}
+	for i := range len(s) {
+		if c := s[i]; (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
+
+// hexNumber is a number of up to 16 hex digits.
+func hexNumber(s string) (uint64, bool) {
+	v, err := strconv.ParseUint(s, 16, 64)
+	return v, err == nil && len(s) <= 16
+}
+
+// whole is a decimal from least to most.
+func whole(s string, least, most int) (int, bool) {
+	v, err := strconv.Atoi(s)
+	return v, err == nil && v >= least && v <= most
+}
+
+// millis is a number of milliseconds from 0 to a longest time. Checked before any arithmetic: NaN is no number.
+func millis(s string, longest time.Duration) (time.Duration, bool) {
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || math.IsNaN(v) || v < 0 || v > float64(longest.Milliseconds()) {
+		return 0, false
+	}
+	return time.Duration(v * float64(time.Millisecond)), true
+}
+
+// readSetUp reads a set-up, or says what is wrong with it. Whatever an arithmetic rests on is bounded here.
+func (n *Node) readSetUp(m *rtsp.Message) (r control.Request, s *session, wrong string) {
+	s = &session{n: n, id: m.Get("Session"), uri: m.URI, cseq: m.Get("CSeq"), className: m.Get("X-Cos"), text: string(m.Body)}
+	title, ok := strings.CutPrefix(m.URI, addresses)
+	if !ok || !isID(s.id) {
+		return r, nil, "no id or title"
+	}
+	if r.Title, ok = hexNumber(title); !ok {
+		return r, nil, "title"
+	}
+	s.key = title
+	r.ID, r.Class = s.id, -1
+	for i := range n.Config.Set.Classes {
+		if n.Config.Set.Classes[i].Name == s.className {
+			r.Class = i
+		}
+	}
+	if r.Class < 0 {
+		return r, nil, "class"
+	}
+	if !utf8.ValidString(s.text) {
+		return r, nil, "description"
+	}
+	if wrong := n.readFields(m, &r, s); wrong != "" {
+		return r, nil, wrong
+	}
+	return r, s, ""
+}
+
+func (n *Node) readFields(m *rtsp.Message, r *control.Request, s *session) string {
+	if again := m.Get("X-Reattempt"); again != "" && again != "0" {
+		r.Repeat = true
+	}
+	if g := m.Get("X-Guess"); g != "" {
+		length, ok := millis(g, longestGuess)
+		if !ok {
+			return "hint"
+		}
+		r.Length = length
+	}
+	if wrong := n.readLegs(m.Get("X-Legs"), r); wrong != "" {
+		return wrong
+	}
+	s.adopted = r.Server != ""
+	if s.adopted {
+		return ""
+	}
+	timer, ok := millis(m.Get("X-Timer-Ms"), longestTimer)
+	if !ok || timer <= 0 {
+		return "timer"
+	}
+	r.Due = n.now() + timer
+	return ""
+}
+
+// readLegs reads the figures of a request; keys that are not known are skipped.
+func (n *Node) readLegs(legs string, r *control.Request) string {
+	set := &n.Config.Set
+	seen := 0
+	for part := range strings.SplitSeq(legs, ";") {
+		name, v, _ := strings.Cut(strings.TrimSpace(part), ":")
+		ok := true
+		switch name {
+		case "home":
+			r.Home, ok = whole(v, 0, max(set.Cells-1, 0))
+			seen |= 1
+		case "copies":
+			r.Span, ok = whole(v, 1, max(set.Cells, 1))
+			seen |= 2
+		case "top":
+			r.Best, ok = whole(v, 0, len(set.Ladder)-1)
+			seen |= 4
+		case "viewer":
+			r.Viewer, ok = hexNumber(v)
+		case "again":
+			r.Returned = v == "1"
+		case "at":
+			r.Server, ok = v, v != "" && len(v) <= 64
+		}
+		if !ok {
+			return name
+		}
+	}
+	if seen != 7 {
+		return "figures"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/node/viewers.go
@@ -0,0 +1,307 @@
+package node
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"rainpulley/internal/rtsp"
+)
+
+// viewers are the connections that viewers opened.
+type viewers struct {
+	n    *Node
+	most int
+
+	mu   sync.Mutex
+	all  map[*viewer]struct{}
+	over bool
+}
+
+// viewer is one connection of a viewer, or of many: sessions share it.
+type viewer struct {
+	n    *Node
+	conn net.Conn
+	out  outbox
+	from string // address without port
+	at   time.Time
+
+	mu     sync.Mutex
+	spoke  bool                // a whole message came
+	used   time.Time           // of the last message
+	open   map[string]*session // set-ups that wait for their answer
+	stands int                 // sessions that began here and stand
+	over   bool
+}
+
+const (
+	firstFor   = 2500 * time.Millisecond // the first message has come by then: silence is told apart from slowness
+	messageFor = 2500 * time.Millisecond // any message that has begun
+	drainFor   = 2 * time.Second         // what a refused peer still sends is read so long (RFC 9112, section 9.6)
+	drainMost  = 96 << 20                // and at most so many bytes of it
+	mostOpen   = 128                     // set-ups of one connection that wait for their answer
+)
+
+func newViewers(n *Node, most int) *viewers {
+	return &viewers{n: n, most: most, all: map[*viewer]struct{}{}}
+}
+
+// serve takes connections until the listener closes.
+func (v *viewers) serve(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case err != nil: // out of descriptors, or the peer has gone already
+			v.n.Log.Debug("accept", "error", err)
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		v.take(conn)
+	}
+}
+
+// take begins to serve a connection. Over the budget the one least missed is closed for it: who has said
+// nothing, then who waits for nothing, the oldest first.
+func (v *viewers) take(conn net.Conn) {
+	now := time.Now()
+	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	c := &viewer{n: v.n, conn: conn, from: host, at: now, used: now, open: map[string]*session{}}
+	c.out.conn, c.out.fail = conn, c.close
+	v.mu.Lock()
+	if v.over {
+		v.mu.Unlock()
+		_ = conn.Close()
+		return
+	}
+	var least *viewer
+	if len(v.all) >= v.most {
+		worst := 4
+		for o := range v.all {
+			if r, since := o.missed(); r < worst || r == worst && since.Before(least.used) {
+				least, worst = o, r
+			}
+		}
+		if worst > 2 {
+			least = c
+		}
+	}
+	if least != c {
+		v.all[c] = struct{}{}
+	}
+	v.mu.Unlock()
+	if least != nil {
+		least.close()
+	}
+	if least != c {
+		v.n.goes(c.read)
+	}
+}
+
+// missed ranks a connection by what its end would harm, and tells when it was last used.
+func (c *viewer) missed() (int, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.spoke:
+		return 0, c.used
+	case len(c.open) > 0:
+		return 3, c.used
+	case c.stands > 0:
+		return 2, c.used
+	}
+	return 1, c.used
+}
+
+// close ends a connection at once; the viewers of set-ups on it have gone.
+func (c *viewer) close() {
+	c.mu.Lock()
+	if c.over {
+		c.mu.Unlock()
+		return
+	}
+	c.over = true
+	gone := make([]*session, 0, len(c.open))
+	for _, s := range c.open {
+		gone = append(gone, s)
+	}
+	clear(c.open)
+	c.mu.Unlock()
+	c.out.stop()
+	_ = c.conn.Close()
+	v := c.n.viewers
+	v.mu.Lock()
+	delete(v.all, c)
+	v.mu.Unlock()
+	for _, s := range gone {
+		s.leave()
+		c.n.owner.Leave(s.id)
+	}
+}
+
+// refuse answers what cannot be read on, and closes: the writing half at once, the rest after what the peer still
+// sends has been read for a bounded time. Closing with unread bytes would reset the connection and could destroy
+// the answer on its way.
+func (c *viewer) refuse(status int, cseq, id string) {
+	c.out.put(func(b []byte) []byte {
+		return rtsp.AppendResponse(b, status, []string{"CSeq", cseq, "Session", id}, nil)
+	})
+	c.out.finish()
+	_ = c.conn.SetReadDeadline(time.Now().Add(drainFor))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.conn, drainMost))
+}
+
+// read hears a viewer until the connection ends.
+func (c *viewer) read() {
+	defer c.close()
+	d := rtsp.NewReader(bufio.NewReaderSize(c.conn, 4<<10))
+	_ = c.conn.SetReadDeadline(c.at.Add(firstFor))
+	for {
+		if err := d.Wait(); err != nil {
+			return
+		}
+		if c.spoke {
+			_ = c.conn.SetReadDeadline(time.Now().Add(messageFor))
+		}
+		m, err := d.Next()
+		var wrong *rtsp.Error
+		switch {
+		case errors.As(err, &wrong):
+			c.refuse(wrong.Status, "", "")
+			return
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			c.refuse(408, "", "")
+			return
+		case err != nil:
+			return
+		}
+		_ = c.conn.SetReadDeadline(time.Time{})
+		c.mu.Lock()
+		c.spoke, c.used = true, time.Now()
+		c.mu.Unlock()
+		c.hear(m)
+	}
+}
+
+func (c *viewer) hear(m *rtsp.Message) {
+	switch m.Method {
+	case "": // an answer to a release
+	case "SETUP":
+		c.setUp(m)
+	case "TEARDOWN":
+		c.tearDown(m)
+	case "OPTIONS":
+		c.reply(m, 200)
+	default:
+		c.reply(m, 501)
+	}
+}
+
+func (c *viewer) reply(m *rtsp.Message, status int) {
+	c.out.put(func(b []byte) []byte {
+		return rtsp.AppendResponse(b, status, []string{"CSeq", m.Get("CSeq"), "Session", m.Get("Session")}, nil)
+	})
+}
+
+// setUp hands a set-up to the owner. One under an id that is open is refused without touching that one; the
+// refusal names no session, so that it cannot pass for the open one's answer.
+func (c *viewer) setUp(m *rtsp.Message) {
+	r, s, wrong := c.n.readSetUp(m)
+	if s == nil {
+		c.n.Log.Debug("set-up refused", "wrong", wrong)
+		c.reply(m, 400)
+		return
+	}
+	s.conn = c
+	if s.adopted {
+		c.n.adopt(r, s)
+		return
+	}
+	if !c.n.begin(s) {
+		c.out.put(func(b []byte) []byte {
+			return rtsp.AppendResponse(b, 400, []string{"CSeq", s.cseq}, nil)
+		})
+		return
+	}
+	c.mu.Lock()
+	full := len(c.open) >= mostOpen || c.over
+	if !full {
+		c.open[s.id] = s
+	}
+	c.mu.Unlock()
+	if full || !c.n.owner.Request(r, s) {
+		c.n.forget(s)
+		c.answered(s)
+		c.reply(m, 503)
+	}
+}
+
+// answered takes a set-up off the connection.
+func (c *viewer) answered(s *session) {
+	c.mu.Lock()
+	delete(c.open, s.id)
+	c.mu.Unlock()
+}
+
+// tearDown ends a session, or a set-up that waits, on whatever connection it began.
+func (c *viewer) tearDown(m *rtsp.Message) {
+	s := c.n.find(m.Get("Session"))
+	if s == nil {
+		c.reply(m, 454)
+		return
+	}
+	s.leave()
+	s.mu.Lock()
+	on := s.conn
+	s.mu.Unlock()
+	on.answered(s)
+	c.n.owner.Leave(s.id)
+	c.reply(m, 200)
+}
+
+// tell writes to the viewer of a session: on the connection that it began on, or else on one of the same address.
+func (n *Node) tell(s *session, add func([]byte) []byte) {
+	s.mu.Lock()
+	c := s.conn
+	s.mu.Unlock()
+	if c.out.put(add) {
+		return
+	}
+	v := n.viewers
+	v.mu.Lock()
+	var best *viewer
+	rank := -1
+	for o := range v.all {
+		if o.from == c.from {
+			if r, _ := o.missed(); r > rank {
+				best, rank = o, r
+			}
+		}
+	}
+	v.mu.Unlock()
+	if best == nil || !best.out.put(add) {
+		n.Log.Warn("viewer not told of its session's end", "session", s.id)
+	}
+}
+
+// closeAll ends all connections and takes no further one.
+func (v *viewers) closeAll() {
+	v.mu.Lock()
+	v.over = true
+	all := make([]*viewer, 0, len(v.all))
+	for c := range v.all {
+		all = append(all, c)
+	}
+	v.mu.Unlock()
+	for _, c := range all {
+		c.out.finish()
+	}
+	for _, c := range all {
+		c.close()
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -112,10 +112,12 @@
 	GroupSize, Position, Locality int
 	OverShareWorth                float64
 	Weights                       string
+	Zones, Kinds                  []string
 	Permissions                   struct {
 		Cancel, Peers, Probing, RetryAfter bool
 		MaxAttempts                        int
 		MaxRetryAfter                      int64
+		ConnIdle, ConnectTimeout           int64
 	}
 	Profiles []struct {
 		Aim, Deadline, Window      int64
@@ -131,9 +133,9 @@
 		How     string
 	}
 	Safety struct {
-		AskEvery, Fall, RampTime, StopSendingWithin, RatioSpan int64
-		FallMultiple, StartCapacity                            float64
-		FreeResends, ExtraPerRequest                           float64
+		AnswerSlack, AskEvery, Fall, RampTime, StopSendingWithin, RatioSpan int64
+		FallMultiple, StartCapacity                                         float64
+		FreeResends, ExtraPerRequest                                        float64
 	}
 	Tariffs struct{ CrossZone, Moves, Probe float64 }
 }
@@ -147,6 +149,25 @@
 	return missing
 }
 
+// Platform is what the start-up parameters tell beside the module's settings: names that stand for numbers
+// elsewhere, and times of connections.
+type Platform struct {
+	Zones, Kinds   []string
+	ConnectTimeout time.Duration // a connection that is not up by then is none
+	ConnIdle       time.Duration // idle connections are closed after so long
+	AnswerSlack    time.Duration // an answer so long after the deadline is in time
+}
+
+// ReadPlatform reads it.
+func ReadPlatform(raw json.RawMessage) (Platform, error) {
+	var f facts
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return Platform{}, fmt.Errorf("settings: %w", err)
+	}
+	return Platform{Zones: f.Zones, Kinds: f.Kinds, ConnectTimeout: micros(f.Permissions.ConnectTimeout),
+		ConnIdle: micros(f.Permissions.ConnIdle), AnswerSlack: micros(f.Safety.AnswerSlack)}, nil
+}
+
 // Settings reads the start-up parameters; what is missing stays "not stated".
 func Settings(raw json.RawMessage) (control.Settings, error) {
 	var f facts
@@ -222,7 +243,8 @@
 var outcomes = map[string]control.Outcome{"S": control.Served, "E": control.Failed, "F": control.Full,
 	"T": control.TimedOut, "C": control.ConnectFailed, "R": control.Reset, "X": control.Cancelled, "N": control.Moot}
 
-func load(g map[string]float64) *control.Load {
+// Load translates a report, by the columns that the settings name.
+func Load(g map[string]float64) *control.Load {
 	if len(g) == 0 {
 		return nil
 	}
@@ -256,13 +278,13 @@
 			return nil, fmt.Errorf("AttemptEnd: unknown reason %q", e.Reason)
 		}
 		return control.Ended{ID: e.Req, Server: e.Server, Attempt: e.Trial, Outcome: o, Took: micros(e.Spent),
-			Final: e.NoMore, Load: load(e.Gauge)}, nil
+			Final: e.NoMore, Load: Load(e.Gauge)}, nil
 	case "Heartbeat":
 		return control.Note{ID: e.Req, Server: e.Server, Kind: control.NoteKind(e.Kind), Value: e.X}, nil
 	case "Left":
 		return control.Left{ID: e.Req}, nil
 	case "HealthResult":
-		return control.Probed{Server: e.Server, OK: e.Reason == "S", Load: load(e.Gauge)}, nil
+		return control.Probed{Server: e.Server, OK: e.Reason == "S", Load: Load(e.Gauge)}, nil
 	case "FromPeer":
 		return control.PeerMessage{From: e.Peer, Data: e.Data}, nil
 	case "Reminder":
