Front node: connections rest after an answer, a leave never overtakes its set-up, tests

Checked: the node's log of causes and the age of each session; no viewer had left, no server was lost, no list change was near. At fault: pool.free closed the connection of a set-up when three were idle already, and the server takes a set-up for given up if its connection closes just after the answer. Change: connections rest 3 s, surplus ones close after.

Seen in a test: a TEARDOWN right behind its SETUP left a session that played for nobody. At fault: Owner.Leave went over the events queue, which is read before requests. Change: it goes behind the request.

Also: a node told to leave stays until 0.2 s before the earliest kill, so that sessions play on; viewers' connections that have just come up are spared when one must go, and those with standing sessions are kept.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -210,8 +210,14 @@
 		attempts: 1, rung: rung, sent: o.Now()}})
 }
 
-// Leave says that the viewer of a request went away, whether it waits or plays.
-func (o *Owner) Leave(id string) { o.put(input{what: viewerLeft, id: id}) }
+// Leave says that the viewer of a request went away, whether it waits or plays. It goes behind the request
+// itself: one that overtook it would find nothing, and the session would play for nobody.
+func (o *Owner) Leave(id string) {
+	select {
+	case o.requests <- input{what: viewerLeft, id: id}:
+	case <-o.over:
+	}
+}
 
 // PlayedOut says that a session came to its end.
 func (o *Owner) PlayedOut(id string) { o.put(input{what: playedOut, id: id}) }
@@ -521,6 +527,9 @@
 	for {
 		select {
 		case in := <-o.requests:
+			if in.what != aRequest {
+				continue
+			}
 			in.request.listener.Answered(Answer{Kind: Failed})
 			in.request.listener.Closed()
 		default:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -557,3 +557,57 @@
 		synctest.Wait()
 	})
 }
+
+// TestLeaveFollowsRequest: a viewer that leaves at once is never overtaken by its own request.
+func TestLeaveFollowsRequest(t *testing.T) {
+	r := start(t, 5, hangs, func(_ time.Duration, e control.Event) []control.Action {
+		switch e := e.(type) {
+		case control.Request:
+			return []control.Action{control.Send{ID: e.ID, Server: "a"}}
+		case control.Left:
+			return []control.Action{control.Cancel{ID: e.ID}}
+		}
+		return nil
+	})
+	for i := range 200 {
+		e := r.ask(t, strconv.Itoa(i), time.Minute)
+		r.Leave(strconv.Itoa(i))
+		e.close()
+	}
+}
+
+// TestServerEnds: what a server says of a session ahead of its set-up's end is heard after it, and an end by the
+// server is not released there again.
+func TestServerEnds(t *testing.T) {
+	var r *rig
+	ready := make(chan struct{})
+	r = start(t, 5, func(context.Context, Attempt) Result {
+		<-ready
+		r.Note(control.Note{ID: "x", Server: "a", Kind: control.NoteRung, Value: 2})
+		r.ServerEnded("x", "b", control.Reset, nil) // another server's word counts for nothing
+		r.ServerEnded("x", "a", control.Served, nil)
+		return Result{Outcome: control.Served}
+	}, func(_ time.Duration, e control.Event) []control.Action {
+		if e, ok := e.(control.Request); ok && !e.Playing {
+			return []control.Action{control.Send{ID: e.ID, Server: "a"}}
+		}
+		return nil
+	})
+	e := r.ask(t, "x", 5*time.Second)
+	close(ready)
+	e.close()
+	if got := r.events(); got != "started a; ended a#0 served final=true" {
+		t.Error(got)
+	}
+	for range 2 { // once more under the same id: it counts once
+		r.Adopt(control.Request{ID: "y", Server: "a"}, -1, newEar(t))
+	}
+	if r.events(); r.Stats.Open.Load() != 1 {
+		t.Errorf("%d open", r.Stats.Open.Load())
+	}
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	if len(r.c.released) != 0 {
+		t.Errorf("released %v", r.c.released)
+	}
+}
--- /dev/null
+++ b/internal/liveness/liveness_test.go
@@ -0,0 +1,74 @@
+package liveness
+
+import (
+	"testing"
+	"time"
+)
+
+// TestJudge plays courses of events a tenth of a second at a time: who is found lost, and when.
+func TestJudge(t *testing.T) {
+	const every = 2 * time.Second
+	for _, c := range []struct {
+		name   string
+		heard  func(at time.Duration) bool
+		dial   func(at time.Duration) Dialled
+		open   func(at time.Duration) int
+		lost   bool
+		least  time.Duration
+		most   time.Duration
+		checks int // at least
+	}{
+		{name: "notes come", heard: func(at time.Duration) bool { return at%every == 0 }, open: one},
+		{name: "quiet but alive", dial: is(Up), open: one, checks: 3},
+		{name: "vanished", dial: is(Silent), open: one, lost: true, least: 3 * time.Second, most: 5 * time.Second, checks: 2},
+		{name: "process died", dial: is(Refused), open: none, lost: true, most: time.Second, checks: 1},
+		{name: "takes no more connections", dial: is(Refused), open: one, checks: 3},
+		{name: "connections reset, machine alive", dial: is(Up), open: none, checks: 3},
+		{name: "one handshake lost", dial: func(at time.Duration) Dialled {
+			if at < 3200*time.Millisecond {
+				return Silent
+			}
+			return Up
+		}, open: one, checks: 2},
+	} {
+		j, checks, lostAt := New(0), 0, time.Duration(-1)
+		for at := time.Duration(0); at < 12*time.Second && lostAt < 0; at += 100 * time.Millisecond {
+			if c.heard != nil && c.heard(at) {
+				j.Heard(at)
+			}
+			switch j.Next(at, every, c.open(at)) {
+			case Check:
+				checks++
+				if c.dial == nil {
+					t.Errorf("%s: checked at %v", c.name, at)
+					break
+				}
+				j.Dialled(at, c.dial(at), c.open(at))
+			case Lost:
+				lostAt = at
+			}
+		}
+		if c.lost != (lostAt >= 0) || lostAt >= 0 && (lostAt < c.least || lostAt > c.most) || checks < c.checks {
+			t.Errorf("%s: lost at %v after %d checks", c.name, lostAt, checks)
+		}
+	}
+}
+
+func one(time.Duration) int  { return 1 }
+func none(time.Duration) int { return 0 }
+func is(d Dialled) func(time.Duration) Dialled {
+	return func(time.Duration) Dialled { return d }
+}
+
+// TestHeardAgain: a server that was lost and speaks again is judged anew.
+func TestHeardAgain(t *testing.T) {
+	j := New(0)
+	j.Dialled(time.Second, Refused, 0)
+	if j.Next(time.Second, time.Second, 0) != Lost {
+		t.Fatal("not lost")
+	}
+	j.Heard(2 * time.Second)
+	if v := j.Next(2*time.Second, time.Second, 1); v != Wait {
+		t.Errorf("verdict %v after it was heard", v)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,16 +21,20 @@
 
 // Node is one running front node.
 type Node struct {
-	Config  *Config
-	Path    string // of the configuration, read again at SIGHUP
-	Log     *slog.Logger
-	owner   *core.Owner
-	pool    *pool
-	viewers *viewers
-	follow  *coordinator.Follower
-	base    time.Time
-	wall    time.Duration
-	work    sync.WaitGroup
+	Config *Config
+	Path   string // of the configuration, read again at SIGHUP
+	Log    *slog.Logger
+	// Listener takes viewers; nil: where the configuration says.
+	Listener net.Listener
+	// Arriving is how long after SIGTERM requests still come.
+	Arriving time.Duration
+	owner    *core.Owner
+	pool     *pool
+	viewers  *viewers
+	follow   *coordinator.Follower
+	base     time.Time
+	wall     time.Duration
+	work     sync.WaitGroup
 
 	mu       sync.Mutex
 	sessions map[string]*session // that wait or stand, by id
@@ -40,12 +44,14 @@
 	leastSockets  = 64
 	socketSlack   = 50 * time.Millisecond  // every time limit is so much longer on sockets
 	stillArriving = 700 * time.Millisecond // after SIGTERM requests still come so long
+	beforeKill    = 200 * time.Millisecond // the node ends so long before the earliest kill
+	flushFor      = 100 * time.Millisecond
 	mostQueued    = 1024
 )
 
 // New makes a front node.
 func New(c *Config, path string, log *slog.Logger) (*Node, error) {
-	n := &Node{Config: c, Path: path, Log: log, base: time.Now(), sessions: map[string]*session{}}
+	n := &Node{Config: c, Path: path, Log: log, Arriving: stillArriving, base: time.Now(), sessions: map[string]*session{}}
 	n.wall = time.Duration(n.base.UnixNano())
 	d, err := control.New(c.Set, c.Seed)
 	if err != nil {
@@ -123,9 +129,13 @@
 	ownerOver := make(chan struct{})
 	go func() { n.owner.Run(inner); close(ownerOver) }()
 	n.pool.connectAll(inner)
-	l, err := net.Listen("tcp", n.Config.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	l := n.Listener
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", n.Config.Listen); err != nil {
+			stop()
+			return fmt.Errorf("listen: %w", err)
+		}
 	}
 	n.goes(func() { n.follow.Run(inner, n.Config.Known.Index) })
 	n.goes(func() { n.pool.keepUp(inner) })
@@ -138,19 +148,21 @@
 	stop()
 	<-ownerOver
 	n.viewers.closeAll()
+	n.pool.closeEverything()
+	n.work.Wait()
 	return nil
 }
 
-// leave ends a front node's service: what still arrives is served, and it goes when all is answered.
+// leave ends a front node's service. What still arrives is served, and sessions play on: they end with the node
+// that holds them. It goes shortly before it may be killed, and then only what is not answered by its deadline fails.
 func (n *Node) leave() {
 	n.Log.Info("leaving")
-	time.Sleep(stillArriving)
-	deadline := time.Now().Add(n.longest())
-	for time.Now().Before(deadline) && n.waiting() > 0 {
-		time.Sleep(5 * time.Millisecond)
-	}
+	time.Sleep(n.staysFor())
 }
 
+// staysFor is how long after SIGTERM the node stays: all that may arrive has its deadline by then.
+func (n *Node) staysFor() time.Duration { return n.Arriving + n.longest() - beforeKill }
+
 // longest is the longest deadline of a class.
 func (n *Node) longest() (d time.Duration) {
 	for _, k := range n.Config.Set.Classes {
@@ -159,19 +171,6 @@
 	return min(d, 3*time.Second)
 }
 
-// waiting counts set-ups that are owed an answer.
-func (n *Node) waiting() (count int) {
-	v := n.viewers
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for c := range v.all {
-		c.mu.Lock()
-		count += len(c.open)
-		c.mu.Unlock()
-	}
-	return count
-}
-
 // reloads takes a new coordinator's address at SIGHUP. A file that cannot be read changes nothing.
 func (n *Node) reloads(ctx context.Context, hangup <-chan os.Signal) {
 	for {
@@ -223,5 +222,6 @@
 	if !n.pool.adopt(r.ID, r.Server) {
 		n.Log.Debug("session at an unknown server", "session", r.ID, "server", r.Server)
 	}
+	s.conn.stand(1)
 	n.owner.Adopt(r, -1, s)
 }
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,361 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"rainpulley/internal/coordinator"
+	"rainpulley/internal/jsonlines"
+)
+
+// TestPlaysAndEnds: what a server is sent, the description byte for byte, and who is told of the end.
+func TestPlaysAndEnds(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startNode(t, b)
+	v := n.dial().say(setUp(idA, "paid", ""))
+	m := b.next(t, "open")
+	if m.ID != idA || m.Attr("class") != "paid" || m.Attr("key") != "7f3a9c21e0b4d655" || *m.Text != "line of "+idA+"\r\nm=audio \"1\"\r\n" {
+		t.Errorf("%+v", m.Message)
+	}
+	if left, ok := m.Number("left"); !ok || left <= 2000 || left > 3000 {
+		t.Errorf("left %v", m.Attr("left"))
+	}
+	if rung, ok := m.Number("rung"); !ok || rung < 1 || rung > 2 {
+		t.Errorf("rung %v", m.Attr("rung"))
+	}
+	// progress, a stray answer ahead, what stands under the id itself, and a copy behind
+	m.on.say(`{"msg":"trying","sid":%q}`, idA)
+	m.on.say(`{"msg":"ready","sid":%q,"text":"stray"}`, idB)
+	m.on.say(`{"msg":"ready","sid":%q,"attrs":{},"text":"tab\t \u00e9 \"q\"\r\n"}`+"\n"+`{"msg":"ready","sid":%q,"text":"copy"}`, idA, idA)
+	if a := v.want(idA, 200); string(a.Body) != "tab\t é \"q\"\r\n" {
+		t.Errorf("%q", a.Body)
+	}
+	v.silent()
+	n.agree(1)
+	m.on.say(`{"msg":"close","sid":%q,"code":16}`, idA)
+	v.wantRelease(idA, "cause=16")
+	n.agree(0)
+}
+
+// TestCauses: how each end ahead of the answer is passed on, by class, and how many servers were tried.
+func TestCauses(t *testing.T) {
+	for _, c := range []struct {
+		class  string
+		close  string // code of the first server tried; the second answers
+		status int
+		tries  int
+	}{
+		{"free", "34", 200, 2}, {"paid", "34", 200, 2}, {"free", "47", 200, 2}, {"paid", "47", 504, 1},
+		{"free", "41", 200, 2}, {"paid", "41", 504, 1}, {"paid", "9999", 504, 1}, {"paid", `"x"`, 504, 1}, {"free", "102", 453, 1},
+	} {
+		t.Run(c.class+c.close, func(t *testing.T) {
+			tries := make(chan string, 10)
+			answer := func(m said) {
+				if m.Type != jsonlines.Open {
+					return
+				}
+				if tries <- m.ID; len(tries) == 1 {
+					m.on.say(`{"msg":"close","sid":%q,"attrs":{"load":"rif:1;x0:0.1;x1:0.1"},"code":%s}`, m.ID, c.close)
+				} else {
+					ready(m)
+				}
+			}
+			n := startNode(t, newBox(t, "s-1", answer), newBox(t, "s-2", answer))
+			n.dial().say(setUp(idA, c.class, "")).want(idA, c.status)
+			if len(tries) != c.tries {
+				t.Errorf("%d tries", len(tries))
+			}
+			n.agree(map[bool]int{true: 1}[c.status == 200])
+		})
+	}
+}
+
+// TestSpoilt: an answer that cannot be read ends its set-up as one that may have run; what stands at that server
+// stays, is heard on any connection, and the set-up that may run is released there.
+func TestSpoilt(t *testing.T) {
+	for name, spoil := range map[string]func(said){
+		"noise": func(m said) { m.on.say("\x00\x01 noise") },
+		"half":  func(m said) { m.on.say(`{"msg":"ready","sid":%q,"text":"a`, m.ID) },
+		"endless": func(m said) {
+			m.on.say(`{"msg":"ready","sid":%q,"text":"%s`, m.ID, strings.Repeat("x", 3*jsonlines.Most))
+		},
+		"break":    func(m said) { _, _ = io.WriteString(m.on, `{"msg":"re`); _ = m.on.Close() },
+		"no text":  func(m said) { m.on.say(`{"msg":"ready","sid":%q}`, m.ID) },
+		"not text": func(m said) { m.on.say(`{"msg":"ready","sid":%q,"text":7}`, m.ID) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBox(t, "s-1", nil)
+			n := startNode(t, b)
+			v := n.dial().say(setUp(idA, "paid", ""))
+			ready(b.next(t, "open"))
+			v.want(idA, 200)
+			v.say(setUp(idB, "paid", ""))
+			spoil(b.next(t, "open"))
+			v.want(idB, 504)
+			eventually(t, "a connection", func() bool { n.pool.mu.Lock(); defer n.pool.mu.Unlock(); return n.pool.byID["s-1"].any() != nil })
+			b.mu.Lock()
+			last := b.conns[len(b.conns)-1]
+			b.mu.Unlock()
+			n.agree(1)
+			last.say(`{"msg":"close","sid":%q,"code":41}`, idA)
+			v.wantRelease(idA, "cause=41")
+			n.agree(0)
+		})
+	}
+}
+
+// TestGivenUp: whatever crosses a viewer's give-up, the server is told and all counts agree after.
+func TestGivenUp(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startNode(t, b)
+	v := n.dial().say(setUp(idA, "free", ""))
+	m := b.next(t, "open")
+	v.say(tearDown(idA))
+	if c := b.next(t, "close"); c.ID != idA || c.Cause() != jsonlines.CauseEnd {
+		t.Errorf("%+v", c.Message)
+	}
+	ready(m) // too late: nobody wants it
+	n.agree(0)
+	v.say(setUp(idB, "free", ""))
+	ready(b.next(t, "open"))
+	v.want(idB, 200)
+	other := n.dial().say(tearDown(idB)) // on any connection
+	if c := b.next(t, "close"); c.ID != idB {
+		t.Errorf("%+v", c.Message)
+	}
+	n.agree(0)
+	other.silent()
+	v.silent()
+	// many at once, each given up at another moment
+	b2 := n.dial()
+	for i := range 60 {
+		id := fmt.Sprintf("%016x", i+1)
+		b2.say(setUp(id, "free", ""))
+		if i%2 == 0 {
+			ready(b.next(t, "open"))
+		}
+		b2.say(tearDown(id))
+	}
+	n.agree(0)
+	// a connection that closes takes its waiting set-ups with it
+	gone := n.dial().say(setUp(idC, "paid", ""))
+	for m = b.next(t, "open"); m.ID != idC; m = b.next(t, "open") {
+	}
+	_ = gone.Close()
+	b.next(t, "close")
+	n.agree(0)
+}
+
+// TestSameID: a set-up under an id that is open is refused, and the open one is not touched.
+func TestSameID(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startNode(t, b)
+	v := n.dial().say(setUp(idA, "paid", ""))
+	m := b.next(t, "open")
+	n.dial().say(strings.Replace(setUp(idA, "free", ""), "audio", "video", 1)).want("", 400)
+	ready(m)
+	if a := v.want(idA, 200); string(a.Body) != "for "+idA+"\r\n\"x\"" {
+		t.Errorf("%q", a.Body)
+	}
+	n.agree(1)
+}
+
+// TestBadViewers: each is refused or closed in time, and a usual viewer is served meanwhile.
+func TestBadViewers(t *testing.T) {
+	n := startWith(t, 128, newBox(t, "s-1", ready))
+	good := setUp(idB, "free", "")
+	change := func(old, new string) string { return strings.Replace(good, old, new, 1) }
+	huge := change("Content-Length: ", "Content-Length: 6000000") + strings.Repeat("x", 8<<20)
+	for name, text := range map[string]string{
+		"noise": "\x16\x03\x01\x02\x00\x01\r\n\r\n", "endless": strings.Repeat("a", 3<<20), "huge body": huge,
+		"negative length": change("Content-Length: ", "Content-Length: -"), "class": change("free", "gold"), "no class": change("X-Cos: free\r\n", ""),
+		"timer": change("3000", "NaN"), "negative timer": change("3000", "-5"), "no timer": change("X-Timer-Ms: 3000\r\n", ""), "endless timer": change("3000", "1e300"),
+		"hint": change("8200.0", "Inf"), "home": change("home:0", "home:99999999999"), "copies": change("copies:4", "copies:-1"), "top": change("top:2", "top:7"),
+		"viewer": change("viewer:00", "viewer:zz"), "no figures": change("home:0;", ""), "no id": change("Session: "+idB+"\r\n", ""), "id": change(idB, "12"),
+		"title": change("7f3a9c21e0b4d655", "nothing here"), "title's digits": change("7f3a9c21e0b4d655", "xyz"), "text": change("audio", "\xff"),
+		"method": change("SETUP", "PLAY"), "half and silent": good[:60], "lone teardown": tearDown(idC),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", n.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			go func() { _, _ = io.WriteString(c, text) }()
+			_ = c.SetReadDeadline(time.Now().Add(testFor))
+			b := make([]byte, 4096)
+			k, _ := io.ReadAtLeast(c, b, 12)
+			if !bytes.HasPrefix(b[:k], []byte("RTSP/1.0 4")) && !bytes.HasPrefix(b[:k], []byte("RTSP/1.0 5")) {
+				t.Errorf("answered %q", b[:k])
+			}
+		})
+	}
+	t.Run("usual", func(t *testing.T) {
+		for i := range 20 {
+			n.dial().say(setUp(fmt.Sprintf("%016x", i+1), "free", "")).want(fmt.Sprintf("%016x", i+1), 200)
+		}
+	})
+}
+
+// TestSilentByTheHundred: connections that say nothing use up no descriptor that others need.
+func TestSilentByTheHundred(t *testing.T) {
+	n := startWith(t, 128, newBox(t, "s-1", ready))
+	v := n.dial().say(setUp(idA, "free", ""))
+	v.want(idA, 200)
+	for range 300 {
+		n.dial()
+	}
+	n.dial().say(setUp(idB, "free", "")).want(idB, 200)
+	n.viewers.mu.Lock()
+	open := len(n.viewers.all)
+	n.viewers.mu.Unlock()
+	if open > n.viewers.most {
+		t.Errorf("%d connections", open)
+	}
+	v.say(setUp(idC, "free", "")).want(idC, 200) // the first is there still
+	eventually(t, "the silent closed", func() bool { n.viewers.mu.Lock(); defer n.viewers.mu.Unlock(); return len(n.viewers.all) == 2 })
+}
+
+// TestServerDies: its sessions are released, those of a quiet server that is alive are not.
+func TestServerDies(t *testing.T) {
+	a, b := newBox(t, "s-1", nil), newBox(t, "s-2", nil)
+	n := startNode(t, a, b)
+	v := n.dial()
+	v.say(setUp(idA, "free", ";at:s-1")).say(setUp(idB, "free", ";at:s-2")).say(setUp(idA, "free", ";at:s-1"))
+	n.agree(2)
+	a.die()
+	v.wantRelease(idA, "cause=41")
+	n.agree(1)
+	_ = v.SetReadDeadline(time.Now().Add(2 * time.Second)) // several times what a judge waits for a note
+	if m, err := v.r.Next(); err == nil {
+		t.Errorf("a quiet server lost its session: %+v", m)
+	}
+	b.mu.Lock()
+	last := b.conns[len(b.conns)-1]
+	b.mu.Unlock()
+	last.say(`{"msg":"event","sid":%q,"attrs":{"note":"rung","value":2}}`, idB)
+	last.say(`{"msg":"close","sid":%q,"code":31}`, idB) // its viewer ended it and is owed nothing
+	n.agree(0)
+}
+
+// TestList: a drained server gets nothing new, one that takes over the address of another is another.
+func TestList(t *testing.T) {
+	a, b := newBox(t, "s-1", ready), newBox(t, "s-2", ready)
+	n := startNode(t, a)
+	v := n.dial().say(setUp(idA, "free", ""))
+	v.want(idA, 200)
+	n.feed.push(a.entry("draining"), b.entry("up"))
+	a.next(t, "open")
+	eventually(t, "told", func() bool { n.pool.mu.Lock(); defer n.pool.mu.Unlock(); return n.pool.byID["s-2"] != nil })
+	v.say(setUp(idB, "paid", "")).want(idB, 200)
+	if m := b.next(t, "open"); m.ID != idB {
+		t.Errorf("%+v", m.Message)
+	}
+	heir := a.entry("up")
+	heir.ID = "s-3"
+	n.feed.push(coordinator.Entry{ID: "s-1", State: "removed"}, heir)
+	v.wantRelease(idA, "cause=41")
+	n.agree(1)
+	n.feed.push(coordinator.Entry{ID: "s-4", State: "strange"}) // unreadable: the list stays
+	v.say(setUp(idC, "free", "")).want(idC, 200)
+}
+
+// TestReload: at SIGHUP the new coordinator is followed from the same number; an unreadable file changes nothing.
+func TestReload(t *testing.T) {
+	n := startNode(t, newBox(t, "s-1", ready))
+	other := newFeed(t, n.feed.all)
+	_ = os.WriteFile(n.Path, []byte("{"), 0o600)
+	_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	v := n.dial().say(setUp(idA, "free", ""))
+	v.want(idA, 200)
+	n.write(n.Path, other, 256, coordinator.Updates{Index: 1, Updates: n.feed.all})
+	_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	select {
+	case q := <-other.polls:
+		if !strings.HasPrefix(q, "follow=1&") {
+			t.Error(q)
+		}
+	case <-time.After(testFor):
+		t.Fatal("not followed")
+	}
+	v.say(setUp(idB, "free", "")).want(idB, 200)
+	n.agree(2)
+}
+
+// TestConnectionsRest: the connection of a set-up is not closed after its answer, however many there are; a server
+// would take the set-up for given up.
+func TestConnectionsRest(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startNode(t, b)
+	v := n.dial()
+	var opens []said
+	for i := range 4 * mostIdle {
+		v.say(setUp(fmt.Sprintf("%016x", i+1), "free", ""))
+		opens = append(opens, b.next(t, "open"))
+	}
+	for _, m := range opens {
+		ready(m)
+	}
+	n.agree(len(opens))
+	n.pool.mu.Lock()
+	s, now := n.pool.byID["s-1"], n.now()
+	n.pool.thin(s, now+restFor/2)
+	early := len(s.links)
+	n.pool.thin(s, now+2*restFor)
+	late := len(s.links)
+	n.pool.mu.Unlock()
+	if early < len(opens) || late != mostIdle {
+		t.Errorf("%d connections for %d set-ups, later %d", early, len(opens), late)
+	}
+}
+
+// TestLeaves: after SIGTERM what was taken and what still arrives is answered, then the node ends by itself.
+func TestLeaves(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startNode(t, b)
+	n.Arriving = beforeKill
+	v := n.dial().say(setUp(idA, "paid", ""))
+	m := b.next(t, "open")
+	n.stop()
+	late := n.dial().say(setUp(idB, "free", ""))
+	ready(b.next(t, "open"))
+	late.want(idB, 200)
+	ready(m)
+	v.want(idA, 200)
+	select {
+	case err := <-n.over:
+		n.over <- err
+	case <-time.After(testFor):
+		t.Fatal("did not end")
+	}
+}
+
+// TestConfig: what is missing or malformed is named.
+func TestConfig(t *testing.T) {
+	good := `{"listen":"127.0.0.1:1","seed":"a","limits":{"cores":1,"memory_mb":64,"sockets":256},"coordinator":"127.0.0.1:2","known":{"index":1,"updates":[{}]},"settings":` + settings + `}`
+	if _, err := parseConfig([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range [][3]string{{`"127.0.0.1:1"`, `"nowhere"`, "listen"}, {`"127.0.0.1:2"`, `""`, "coordinator"}, {`"seed":"a"`, `"seed":"xyz"`, "seed"},
+		{`"sockets":256`, `"sockets":3`, "limits"}, {`"cores":1`, `"cores":-1`, "limits"}, {`"memory_mb":64`, `"memory_mb":"x"`, "line 1"}, {`[{}]`, `[]`, "known"},
+		{`"ladderKb":[100,200,400]`, `"ladderKb":[]`, "ladderKb"}, {`"seed":"a",`, `"seed" "a",`, "line 1"}, {settings, `null`, "settings"}} {
+		if _, err := parseConfig([]byte(strings.Replace(good, c[0], c[1], 1))); err == nil || !strings.Contains(err.Error(), c[2]) {
+			t.Errorf("%s: %v", c[1], err)
+		}
+	}
+	if _, err := ReadConfig(filepath.Join(t.TempDir(), "none")); err == nil {
+		t.Error("no file, no error")
+	}
+	if _, err := ReadConfig(""); err == nil {
+		t.Error("no name, no error")
+	}
+}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -50,13 +50,15 @@
 	out   outbox
 	sid   string // of the set-up on it
 	reply chan core.Result
-	gone  bool // closed; under the pool's lock
+	gone  bool          // closed; under the pool's lock
+	used  time.Duration // of the last set-up's end
 }
 
 const (
 	mostIdle  = 3                      // connections kept to one server
 	mostOwed  = 64                     // releases to one server that wait for a connection
 	lingerFor = 500 * time.Millisecond // a connection that is given up stays so long, to pass on what was written
+	restFor   = 3 * time.Second        // a connection stays open so long after a set-up
 	watchEach = 200 * time.Millisecond
 )
 
@@ -191,7 +193,7 @@
 	}
 	var from *server
 	for _, s := range p.byID {
-		if len(s.idle) > 0 && len(s.links) > 1 && (from == nil || len(s.idle) > len(from.idle)) {
+		if len(s.idle) > 0 && len(s.links) > 1 && (from == nil || s.idle[0].used < from.idle[0].used) {
 			from = s
 		}
 	}
@@ -270,19 +272,34 @@
 	return p.dial(ctx, s)
 }
 
-// free puts a link back.
+// free puts a link back. It is not closed at once even where there are many: a server to which a connection
+// closes just after its answer takes the set-up for given up, and cuts the session (seen when 300 viewers came
+// back within a second, and a third of them lost what they had just got).
 func (p *pool) free(l *link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	switch {
-	case l.gone:
-	case len(l.s.idle) >= mostIdle:
-		p.drop(l)
-	default:
+	if !l.gone {
+		l.used = p.n.now()
 		l.s.idle = append(l.s.idle, l)
 	}
 }
 
+// thin closes what a server has too many of, the longest idle first.
+func (p *pool) thin(s *server, now time.Duration) {
+	for len(s.idle) > mostIdle && now-s.idle[0].used > restFor {
+		p.drop(s.idle[0])
+	}
+}
+
+// closeEverything ends all connections.
+func (p *pool) closeEverything() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.byID {
+		p.closeAll(s)
+	}
+}
+
 // SetUp asks a server to start a session. What waited for its connection is looked at again before its first byte.
 func (p *pool) SetUp(ctx context.Context, a core.Attempt) core.Result {
 	v, ok := a.Listener.(*session)
@@ -403,6 +420,7 @@
 		stood := l.s.standing[m.ID]
 		delete(l.s.standing, m.ID)
 		p.mu.Unlock()
+		p.n.Log.Debug("released by server", "session", m.ID, "server", l.s.id, "cause", m.Cause(), "stood", stood)
 		if stood {
 			p.n.owner.ServerEnded(m.ID, l.s.id, o, load)
 		}
@@ -507,6 +525,7 @@
 	defer p.mu.Unlock()
 	now := p.n.now()
 	for _, s := range p.byID {
+		p.thin(s, now)
 		if len(s.standing) == 0 {
 			if s.state == control.Gone || len(s.links) > 0 {
 				continue
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -43,13 +43,19 @@
 	s.mu.Unlock()
 	c.answered(s)
 	if left {
+		if a.Kind == core.Plays {
+			go s.n.owner.Leave(s.id) // not from the owner's goroutine, which would wait for itself
+		}
 		return
 	}
+	if a.Kind == core.Plays {
+		c.stand(1)
+	}
 	told := c.out.put(func(b []byte) []byte {
 		return rtsp.AppendResponse(b, status, []string{"CSeq", s.cseq, "Session", s.id, "X-Pause", after}, body)
 	})
 	if !told && a.Kind == core.Plays {
-		go s.n.owner.Leave(s.id) // not from the owner's goroutine, which would wait for itself
+		go s.n.owner.Leave(s.id)
 	}
 }
 
@@ -59,8 +65,9 @@
 // Ended releases a viewer whose session is over, unless it ended it itself.
 func (s *session) Ended(o control.Outcome, moved bool) {
 	s.mu.Lock()
-	left := s.left
+	c, left := s.conn, s.left
 	s.mu.Unlock()
+	c.stand(-1)
 	if left || o == control.Cancelled && !moved {
 		return
 	}
--- a/internal/node/viewers.go
+++ b/internal/node/viewers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,7 +68,9 @@
 }
 
 // take begins to serve a connection. Over the budget the one least missed is closed for it: who has said
-// nothing, then who waits for nothing, the oldest first.
+// nothing for a while, then who waits for nothing, the oldest first. Harm: who connects and speaks late is closed
+// in a crowd. A connection that has just come up is spared as long as there is another: its request is on the way,
+// and would fail with it (seen on days when viewers hold their connections for good).
 func (v *viewers) take(conn net.Conn) {
 	now := time.Now()
 	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
@@ -81,13 +84,13 @@
 	}
 	var least *viewer
 	if len(v.all) >= v.most {
-		worst := 4
+		worst, longest := waits, now
 		for o := range v.all {
-			if r, since := o.missed(); r < worst || r == worst && since.Before(least.used) {
-				least, worst = o, r
+			if r, since := o.missed(now); r < worst || r == worst && since.Before(longest) {
+				least, worst, longest = o, r, since
 			}
 		}
-		if worst > 2 {
+		if worst == waits {
 			least = c
 		}
 	}
@@ -103,19 +106,32 @@
 	}
 }
 
-// missed ranks a connection by what its end would harm, and tells when it was last used.
-func (c *viewer) missed() (int, time.Time) {
+// Ranks of connections, by what their end would harm.
+const (
+	saysNothing = iota // for longer than a request needs to follow its connection
+	unused
+	young
+	hasSessions // that stand: they are tied to no connection, their end is told on another
+	waits       // for an answer
+)
+
+const speaksWithin = 100 * time.Millisecond
+
+// missed ranks a connection, and tells when it was last used.
+func (c *viewer) missed(now time.Time) (int, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case !c.spoke && now.Sub(c.at) < speaksWithin:
+		return young, c.used
 	case !c.spoke:
-		return 0, c.used
+		return saysNothing, c.used
 	case len(c.open) > 0:
-		return 3, c.used
+		return waits, c.used
 	case c.stands > 0:
-		return 2, c.used
+		return hasSessions, c.used
 	}
-	return 1, c.used
+	return unused, c.used
 }
 
 // close ends a connection at once; the viewers of set-ups on it have gone.
@@ -248,6 +264,13 @@
 	c.mu.Unlock()
 }
 
+// stand counts sessions that began here and stand.
+func (c *viewer) stand(n int) {
+	c.mu.Lock()
+	c.stands += n
+	c.mu.Unlock()
+}
+
 // tearDown ends a session, or a set-up that waits, on whatever connection it began.
 func (c *viewer) tearDown(m *rtsp.Message) {
 	s := c.n.find(m.Get("Session"))
@@ -275,10 +298,10 @@
 	v := n.viewers
 	v.mu.Lock()
 	var best *viewer
-	rank := -1
+	rank, now := saysNothing, time.Now()
 	for o := range v.all {
 		if o.from == c.from {
-			if r, _ := o.missed(); r > rank {
+			if r, _ := o.missed(now); r > rank && r != young {
 				best, rank = o, r
 			}
 		}
@@ -289,6 +312,12 @@
 	}
 }
 
+func (c *viewer) writing() bool {
+	c.out.mu.Lock()
+	defer c.out.mu.Unlock()
+	return c.out.writing
+}
+
 // closeAll ends all connections and takes no further one.
 func (v *viewers) closeAll() {
 	v.mu.Lock()
@@ -301,6 +330,9 @@
 	for _, c := range all {
 		c.out.finish()
 	}
+	for deadline := time.Now().Add(flushFor); time.Now().Before(deadline) && slices.ContainsFunc(all, (*viewer).writing); {
+		time.Sleep(time.Millisecond)
+	}
 	for _, c := range all {
 		c.close()
 	}
