Servers that end with their connections left open are found out in time

Checked with the log turned up: a drained server's process ended at 8.7 s (its last word 8.86 s, removed from the list 9.1 s, connections refused from 12.0 s on), while its open connections stayed silent until they were reset at 16.7 s, eight seconds later; the releases went out 0.3 s after that, too late. At fault: liveness.Judge.Dialled took 'refused' as 'takes no more connections' as long as any was open. Change: refused in silence counts, two in a row; a server removed from the list is looked at without waiting for its notes; a set-up's own refused connection beside regular notes does not count.

--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -30,13 +30,13 @@
 	overdue     = 1.5
 	leastQuiet  = time.Second
 	checkAgain  = 400 * time.Millisecond // between tries while one has failed
-	silentTries = 2                      // in a row: one lost handshake proves nothing
+	failedTries = 2                      // in a row: one lost handshake proves nothing
 )
 
 // Judge judges one server.
 type Judge struct {
 	heard, checked time.Duration
-	silent         int
+	failed         int // tries in a row
 	lost           bool
 	checking       bool
 }
@@ -46,18 +46,19 @@
 
 // Heard says that something came from the server.
 func (j *Judge) Heard(now time.Duration) {
-	j.heard, j.silent, j.lost = now, 0, false
+	j.heard, j.failed, j.lost = now, 0, false
 }
 
-// Next tells what to do about a server with sessions. Open is the number of connections to it.
-func (j *Judge) Next(now, every time.Duration, open int) Verdict {
+// Next tells what to do about a server with sessions. Open is the number of connections to it; listed tells that
+// the list still has it: one that was removed is looked at without waiting for its notes.
+func (j *Judge) Next(now, every time.Duration, open int, listed bool) Verdict {
 	quiet := max(time.Duration(overdue*float64(every)), leastQuiet)
 	switch {
 	case j.lost:
 		return Lost
 	case j.checking:
 		return Wait
-	case open == 0 || j.silent > 0:
+	case open == 0 || j.failed > 0 || !listed && j.heard > j.checked:
 		if now-j.checked < checkAgain {
 			return Wait
 		}
@@ -69,16 +70,17 @@
 }
 
 // Dialled says what came of a try to connect, a check or another. Refused while connections are open may only
-// mean that the server takes no more of them.
+// mean that the server takes no more of them; but its process may also have ended and left them open and silent
+// (seen: eight seconds until they were reset, sessions over meanwhile), which a further try in the silence tells.
 func (j *Judge) Dialled(now time.Duration, d Dialled, open int) {
+	if d == Refused && open > 0 && !j.checking {
+		return // a set-up's own connection: the notes will tell
+	}
 	j.checked, j.checking = now, false
-	switch d {
-	case Up:
-		j.silent, j.lost = 0, false
-	case Refused:
-		j.lost = open == 0
-	case Silent:
-		j.silent++
-		j.lost = j.silent >= silentTries
+	if d == Up {
+		j.failed, j.lost = 0, false
+		return
 	}
+	j.failed++
+	j.lost = j.failed >= failedTries || d == Refused && open == 0
 }
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -13,6 +13,8 @@
 		heard  func(at time.Duration) bool
 		dial   func(at time.Duration) Dialled
 		open   func(at time.Duration) int
+		gone   bool
+		other  Dialled // what set-ups' own connections come to, all the time
 		lost   bool
 		least  time.Duration
 		most   time.Duration
@@ -22,7 +24,11 @@
 		{name: "quiet but alive", dial: is(Up), open: one, checks: 3},
 		{name: "vanished", dial: is(Silent), open: one, lost: true, least: 3 * time.Second, most: 5 * time.Second, checks: 2},
 		{name: "process died", dial: is(Refused), open: none, lost: true, most: time.Second, checks: 1},
-		{name: "takes no more connections", dial: is(Refused), open: one, checks: 3},
+		{name: "takes no more connections", heard: func(at time.Duration) bool { return at%every == 0 }, other: Refused, open: one},
+		{name: "ended, connections left open", dial: is(Refused), open: one, lost: true, least: 3 * time.Second, most: 4 * time.Second, checks: 2},
+		{name: "removed, connections left open", gone: true, heard: func(at time.Duration) bool { return at == time.Second }, dial: is(Refused), open: one,
+			lost: true, least: time.Second, most: 2 * time.Second, checks: 2},
+		{name: "removed, and runs still", gone: true, dial: is(Up), open: one, checks: 3},
 		{name: "connections reset, machine alive", dial: is(Up), open: none, checks: 3},
 		{name: "one handshake lost", dial: func(at time.Duration) Dialled {
 			if at < 3200*time.Millisecond {
@@ -36,7 +42,10 @@
 			if c.heard != nil && c.heard(at) {
 				j.Heard(at)
 			}
-			switch j.Next(at, every, c.open(at)) {
+			if c.other == Refused {
+				j.Dialled(at, c.other, c.open(at))
+			}
+			switch j.Next(at, every, c.open(at), !c.gone) {
 			case Check:
 				checks++
 				if c.dial == nil {
@@ -64,11 +73,11 @@
 func TestHeardAgain(t *testing.T) {
 	j := New(0)
 	j.Dialled(time.Second, Refused, 0)
-	if j.Next(time.Second, time.Second, 0) != Lost {
+	if j.Next(time.Second, time.Second, 0, true) != Lost {
 		t.Fatal("not lost")
 	}
 	j.Heard(2 * time.Second)
-	if v := j.Next(2*time.Second, time.Second, 1); v != Wait {
+	if v := j.Next(2*time.Second, time.Second, 1, true); v != Wait {
 		t.Errorf("verdict %v after it was heard", v)
 	}
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -531,7 +531,7 @@
 				continue
 			}
 		}
-		switch s.judge.Next(now, p.n.Config.Set.LinkNoteEvery, len(s.links)) {
+		switch s.judge.Next(now, p.n.Config.Set.LinkNoteEvery, len(s.links), s.state != control.Gone) {
 		case liveness.Check:
 			p.n.goes(func() { p.check(ctx, s) })
 		case liveness.Lost:
