--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"strconv"
 	"sync"
@@ -428,6 +429,9 @@
 		stands := l.s.standing[m.ID]
 		p.mu.Unlock()
 		if kind, v, ok := note(m); ok && stands {
+			if p.n.Log.Enabled(context.Background(), slog.LevelDebug) {
+				p.n.Log.Debug("note", "session", m.ID, "server", l.s.id, "note", m.Attr("note"), "value", v)
+			}
 			p.n.owner.Note(control.Note{ID: m.ID, Server: l.s.id, Kind: kind, Value: v})
 		}
 	default:
