--- a/control/control.go
+++ b/control/control.go
@@ -19,6 +19,7 @@
 	nearFull     = 0.90                   // a link this full lately is blamed for a short share
 	admitLimit   = 1.0                    // fullness up to which a lowest rung is still let in
 	tieWidth     = 0.10                   // fullness: links this close count as equal: reports are that noisy
+	toldTie      = 0.30                   // the same where uplinks are reported: their figure is as good then
 	zoneWeight   = 2.5                    // fullness that crossing zones must gain, by its price
 	fairTarget   = 0.98                   // newcomers fill a link to this, up to the rung that others have
 	fairShare    = 0.4                    // and may take this part of the room
@@ -44,6 +45,7 @@
 	beat         = 250 * time.Millisecond // pace of corrections: finer than the notes, coarse against CPU
 	stepEvery    = 2 * time.Second        // no step up so long after a short share, nor between allowances
 	upPart       = 0.4                    // part of its share of the room a front takes at one report
+	upAlone      = 0.2                    // the same where fronts cannot tell each other what they took
 	unheard      = 0.6                    // fullness assumed of a fleet of which nothing is known yet
 	fullWait     = time.Second            // rest for a server that has no stream free
 	settle       = 2 * time.Second        // beyond the notes' delay, wait after a correction of an uplink
@@ -57,6 +59,7 @@
 	coldMargin   = 0.6                    // part of what a cold server stands that the fronts use
 	guessLength  = 10 * time.Second       // time left of a session whose length nobody told
 	keepHistory  = 12 * time.Second       // own rates are remembered for late notes
+	keepGone     = time.Minute            // a server that is gone and comes back is known for so long
 	returnAdvice = time.Second            // wait advised to a viewer who was turned away
 	noMoreThan   = 3.0                    // fullness reports are clipped here
 )
@@ -69,6 +72,7 @@
 		}
 		return
 	}
+	c.forgetGone()
 	c.order, c.meanKnown = merge(c.known, u), false
 	for _, s := range c.order {
 		c.marks[markOf(s.ID)] = s
@@ -518,17 +522,20 @@
 // leastLoaded is the design's choice: the least loaded link; of links as good as equal the one in
 // the less loaded rack, with a little for the own zone; then the seed decides.
 func (c *Controller) leastLoaded(x *session, group []*server) *server {
-	least := math.Inf(1)
+	least, width := math.Inf(1), tieWidth
 	for _, s := range group {
 		least = min(least, c.seems(x, s))
+		if c.racks[s.rack].told {
+			width = toldTie
+		}
 	}
 	var best *server
 	bestCost := math.Inf(1)
 	for _, s := range group {
-		if c.seems(x, s) > least+tieWidth {
+		if c.seems(x, s) > least+width {
 			continue
 		}
-		cost := c.rng.Float64() * tieWidth / 2
+		cost := c.rng.Float64() * width / 2
 		if r := c.racks[s.rack]; r.capacity > 0 {
 			cost += c.uplink(r) / r.capacity
 		}
@@ -967,7 +974,7 @@
 			}
 			c.meanKnown = false
 		} else if c.now-s.shortAt > stepEvery && full < riseTarget {
-			mine := (riseTarget - full) * s.capacity * upPart * own / max(full, 1e-9)
+			mine := (riseTarget - full) * s.capacity * c.upPart() * own / max(full, 1e-9)
 			taken := c.stepUp(s, min(mine, c.racks[s.rack].allowance))
 			c.racks[s.rack].allowance -= taken
 			if !c.informed(s) {
@@ -1009,12 +1016,21 @@
 		r.allowed, r.allowance = c.now, 0
 		if !short {
 			free := max(riseTarget*r.capacity-asked-c.rackHeld(nil, r), 0)
-			r.allowance = free * upPart * own / max(asked, 1e-9)
+			r.allowance = free * c.upPart() * own / max(asked, 1e-9)
 		}
 	}
 	r.fresh = false
 }
 
+// upPart is the part of its share of free room that a front takes for steps up. Guards against all fronts
+// taking the same room at one report and stepping down at the next. Harm: room is used later.
+func (c *Controller) upPart() float64 {
+	if c.set.Peers {
+		return upPart
+	}
+	return upAlone
+}
+
 // stepUp spends a rate on the own sessions that gain most by it, and returns what it spent. A step
 // larger than what is left is taken with that chance.
 func (c *Controller) stepUp(s *server, mine float64) (spent float64) {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -966,3 +966,63 @@
 		}
 	}
 }
+
+// Where uplinks are reported, a link a little fuller behind a much emptier uplink is chosen; where not, the link alone decides.
+func TestReportedUplinksWidenTies(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		set := settings()
+		set.RackUplink = 6000
+		f := start(t, set)
+		f.link(0.50, 0.65, 0.50, 0.65, 0.50, 0.65) // even cells stand in rack 0
+		if told {
+			f.step(Note{Server: "s0", Kind: NoteUplink, Value: 1})
+			f.step(Note{Server: "s1", Kind: NoteUplink, Value: 0.5})
+		}
+		s := f.sent(f.ask("x", 0))
+		if rack := (s[1] - '0') % 2; (rack == 1) != told {
+			t.Errorf("uplinks told %v: sent to %s", told, s)
+		}
+	}
+}
+
+// Fronts that cannot tell each other what they took step up by less at one report.
+func TestStepsUpAlone(t *testing.T) {
+	taken := func(peers bool) (n int) {
+		set := settings()
+		set.Peers, set.Racks = peers, 0
+		f := start(t, set, Server{ID: "s0", State: Ready, Weight: 5})
+		for i := range 12 {
+			id := fmt.Sprint("x", i)
+			f.step(Request{ID: id, Server: "s0", Span: 6, Best: 2, Playing: true, Length: time.Minute})
+			f.step(Note{ID: id, Server: "s0", Kind: NoteRung})
+		}
+		f.now += 5 * time.Second
+		f.step(Note{ID: "x0", Server: "s0", Kind: NoteLink, Value: 0.3})
+		for _, a := range f.step(TimerFired{"beat"}) {
+			if r, ok := a.(SetRung); ok && r.Rung > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	if alone, together := taken(false), taken(true); alone == 0 || alone >= together {
+		t.Errorf("%d steps up alone, %d with peers", alone, together)
+	}
+}
+
+// Servers that are replaced by new ones all day leave nothing behind, but for those that run something still.
+func TestForgetsServersLongGone(t *testing.T) {
+	f := start(t, settings())
+	kept := f.play("x", 0)
+	for i := range 300 {
+		f.now += 2 * time.Second
+		gone := Server{ID: fmt.Sprint("n", i-1), State: Gone}
+		if i == 0 {
+			gone.ID = kept
+		}
+		f.step(ListUpdate{Servers: []Server{gone, {ID: fmt.Sprint("n", i), Cell: i % 6, State: Ready, Weight: 1}}})
+	}
+	if n := len(f.c.known); n > 60 || len(f.c.marks) > n || len(f.c.order) != n || f.c.known[kept] == nil {
+		t.Errorf("%d servers known, %d marks, %d in order", n, len(f.c.marks), len(f.c.order))
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -136,6 +136,7 @@
 	failedAt     time.Duration
 	broke        bool          // may have restarted since
 	coldFrom     time.Duration // 0: warm
+	goneSeen     time.Duration // when it was first seen to be gone; 0: listed
 	pacedFrom    time.Duration
 	gapPart      float64 // part of its gap that this front waits before the next set-up
 	lastSend     time.Duration
@@ -267,6 +268,24 @@
 	return order
 }
 
+// forgetGone drops servers that are gone for long and run nothing any more: where servers are replaced by new
+// ones all day, they would grow without end.
+func (c *Controller) forgetGone() {
+	for id, s := range c.known {
+		switch {
+		case s.State != Gone:
+			s.goneSeen = 0
+		case s.goneSeen == 0:
+			s.goneSeen = c.now
+		case c.now-s.goneSeen > keepGone && len(s.held) == 0:
+			delete(c.known, id)
+			if c.marks[markOf(id)] == s {
+				delete(c.marks, markOf(id))
+			}
+		}
+	}
+}
+
 // holds reports whether the server's cell is one of span in a row from home.
 func (s *server) holds(home, span, cells int) bool {
 	if cells <= 0 || span <= 0 {
