An error counts against a server only when several come in a row; belief beside the sockets

Ruled out: refusals for want of room, and the viewers' side (bad clients are refused in time; usual ones answered). At fault: control.ended took Failed for a symptom of the server like a lost connection.

--- a/control/control.go
+++ b/control/control.go
@@ -659,7 +659,7 @@
 		s.coldFrom = c.now
 		c.pace(s)
 	}
-	s.fails, s.avoidTill, s.broke = 0, 0, false
+	s.fails, s.errors, s.avoidTill, s.broke = 0, 0, 0, false
 }
 
 // alive is told by a note on a session that played before the last failure: the server did not restart,
@@ -703,6 +703,10 @@
 		}
 		s.fullTill = c.now + fullWait
 	case TimedOut, ConnectFailed, Reset, Failed:
+		// An error is an answer, and may be the request's own fault: several in a row are the server's.
+		if s.errors++; e.Outcome == Failed && s.errors < brokenAfter {
+			break
+		}
 		if !x.playing || e.Outcome == Reset {
 			c.failed(s, e.Outcome)
 		}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1026,3 +1026,23 @@
 		t.Errorf("%d servers known, %d marks, %d in order", n, len(f.c.marks), len(f.c.order))
 	}
 }
+
+// An error may be the request's own fault: one does not make a server suspect, several in a row do.
+func TestErrorsInARow(t *testing.T) {
+	f := start(t, settings(), Server{ID: "s0", State: Ready, Weight: 1})
+	for i := range brokenAfter + 1 {
+		id := fmt.Sprint("x", i)
+		if f.sent(f.ask(id, 0)) != "s0" {
+			t.Fatalf("%s was not sent", id)
+		}
+		f.step(Ended{ID: id, Server: "s0", Outcome: Failed})
+		if suspect := f.c.known["s0"].fails > 0; suspect != (i+1 >= brokenAfter) {
+			t.Errorf("after %d errors: suspect %v", i+1, suspect)
+		}
+		f.now += time.Minute // past any rest
+	}
+	f.play("y", 0)
+	if f.c.known["s0"].errors != 0 {
+		t.Error("errors outlive a set-up that was served")
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -132,6 +132,7 @@
 	shortAt      time.Duration // last note of a share
 	noteAt       time.Duration // last note of any kind
 	fails        int           // set-ups and sessions lost in a row
+	errors       int           // set-ups that came to nothing since it last served
 	avoidTill    time.Duration
 	failedAt     time.Duration
 	broke        bool          // may have restarted since
@@ -268,6 +269,15 @@
 	return order
 }
 
+// Own is the number of own sessions that the module believes to be at a server, set-ups too. For comparison with
+// what passes on the sockets.
+func (c *Controller) Own(server string) int {
+	if s := c.known[server]; s != nil {
+		return len(s.held)
+	}
+	return 0
+}
+
 // forgetGone drops servers that are gone for long and run nothing any more: where servers are replaced by new
 // ones all day, they would grow without end.
 func (c *Controller) forgetGone() {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -142,6 +142,7 @@
 	took     time.Duration
 	server   string
 	sessions []string
+	look     func()
 }
 
 type what int
@@ -155,6 +156,7 @@
 	serverLost
 	serverEnded
 	adopted
+	inspect
 )
 
 // request is one request from its arrival until nothing more can come of it.
@@ -245,6 +247,9 @@
 	}
 }
 
+// Inspect has look called on the owner's goroutine, between two steps of the module. It must not wait.
+func (o *Owner) Inspect(look func()) { o.put(input{what: inspect, look: look}) }
+
 func (o *Owner) put(in input) {
 	select {
 	case o.events <- in:
@@ -321,6 +326,8 @@
 		o.attemptEnded(in)
 	case adopted:
 		o.adopt(in.request)
+	case inspect:
+		in.look()
 	case viewerLeft:
 		o.left(in.id)
 	case playedOut:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	Listener net.Listener
 	// Arriving is how long after SIGTERM requests still come.
 	Arriving time.Duration
+	module   *control.Controller // touched on the owner\'s goroutine only
 	owner    *core.Owner
 	pool     *pool
 	viewers  *viewers
@@ -57,6 +58,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	n.module = d
 	n.pool = newPool(n, c.Sockets*3/8)
 	n.viewers = newViewers(n, c.Sockets/2)
 	n.owner = core.New(core.Options{Queue: mostQueued, Most: c.Set.MaxAttempts, Slack: c.Platform.AnswerSlack + socketSlack,
@@ -140,6 +142,9 @@
 	n.goes(func() { n.follow.Run(inner, n.Config.Known.Index) })
 	n.goes(func() { n.pool.keepUp(inner) })
 	n.goes(func() { n.reloads(inner, hangup) })
+	if log := n.Log; log.Enabled(inner, slog.LevelDebug) {
+		n.goes(func() { n.compare(inner) })
+	}
 	n.goes(func() { _ = n.viewers.serve(l) })
 	n.Log.Info("ready", "name", n.Config.Name, "listen", n.Config.Listen)
 	<-term.Done()
@@ -171,6 +176,29 @@
 	return min(d, 3*time.Second)
 }
 
+const compareEach = 2 * time.Second
+
+// compare logs where the module's count of own sessions at a server is not that on the sockets. For a moment
+// they may differ, while a set-up is out or a release on its way.
+func (n *Node) compare(ctx context.Context) {
+	tick := time.NewTicker(compareEach)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		n.owner.Inspect(func() {
+			for id, b := range n.pool.believed(n.module.Own) {
+				if b.module != b.sockets {
+					n.Log.Debug("belief", "server", id, "module", b.module, "sockets", b.sockets)
+				}
+			}
+		})
+	}
+}
+
 // reloads takes a new coordinator's address at SIGHUP. A file that cannot be read changes nothing.
 func (n *Node) reloads(ctx context.Context, hangup <-chan os.Signal) {
 	for {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -225,6 +225,29 @@
 	eventually(t, "the silent closed", func() bool { n.viewers.mu.Lock(); defer n.viewers.mu.Unlock(); return len(n.viewers.all) == 2 })
 }
 
+// TestSlowReader: a viewer that reads nothing loses its connection, and nobody else waits for it.
+func TestSlowReader(t *testing.T) {
+	n := startNode(t, newBox(t, "s-1", ready))
+	slow := n.dial()
+	_ = slow.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		ping := strings.Repeat("OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: "+strings.Repeat("3", 2000)+"\r\nContent-Length: 0\r\n\r\n", 50)
+		for range 2000 {
+			if _, err := io.WriteString(slow, ping); err != nil {
+				return
+			}
+		}
+		t.Error("200 MB of answers taken for nobody")
+	}()
+	for i := range 20 {
+		id := fmt.Sprintf("%016x", i+1)
+		n.dial().say(setUp(id, "free", "")).want(id, 200)
+	}
+	<-over
+}
+
 // TestServerDies: its sessions are released, those of a quiet server that is alive are not.
 func TestServerDies(t *testing.T) {
 	a, b := newBox(t, "s-1", nil), newBox(t, "s-2", nil)
@@ -273,10 +296,10 @@
 func TestReload(t *testing.T) {
 	n := startNode(t, newBox(t, "s-1", ready))
 	other := newFeed(t, n.feed.all)
+	v := n.dial().say(setUp(idA, "free", ""))
+	v.want(idA, 200) // it serves, so it hears signals
 	_ = os.WriteFile(n.Path, []byte("{"), 0o600)
 	_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
-	v := n.dial().say(setUp(idA, "free", ""))
-	v.want(idA, 200)
 	n.write(n.Path, other, 256, coordinator.Updates{Index: 1, Updates: n.feed.all})
 	_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
 	select {
@@ -304,8 +327,13 @@
 	}
 	for _, m := range opens {
 		ready(m)
+		v.want(m.ID, 200)
 	}
-	n.agree(len(opens))
+	eventually(t, "all rest", func() bool {
+		n.pool.mu.Lock()
+		defer n.pool.mu.Unlock()
+		return len(n.pool.byID["s-1"].idle) >= len(opens)
+	})
 	n.pool.mu.Lock()
 	s, now := n.pool.byID["s-1"], n.now()
 	n.pool.thin(s, now+restFor/2)
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -339,20 +339,23 @@
 	}
 }
 
-// agree waits until module's requests, sessions on the sockets and the node's table are as many as told.
+// agree waits until the module's sessions, those on the sockets, and the node's and the core's tables are as many as
+// told, server by server.
 func (r *rig) agree(n int) {
 	r.t.Helper()
 	eventually(r.t, fmt.Sprintf("%d sessions everywhere", n), func() bool {
-		r.pool.mu.Lock()
-		standing := 0
-		for _, s := range r.pool.byID {
-			standing += len(s.standing)
-		}
-		r.pool.mu.Unlock()
+		same := make(chan bool, 1)
+		r.owner.Inspect(func() {
+			sum, ok := 0, true
+			for _, b := range r.pool.believed(r.module.Own) {
+				sum, ok = sum+b.module, ok && b.module == b.sockets
+			}
+			same <- ok && sum == n
+		})
 		r.mu.Lock()
 		held := len(r.sessions)
 		r.mu.Unlock()
-		return standing == n && held == n && r.owner.Stats.Open.Load() == int64(n)
+		return <-same && held == n && r.owner.Stats.Open.Load() == int64(n)
 	})
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -448,6 +448,20 @@
 	return k, v, ok && is
 }
 
+// belief is how many sessions run at a server, set-ups too.
+type belief struct{ module, sockets int }
+
+// believed compares for each server what the module believes with what was opened on the sockets.
+func (p *pool) believed(own func(string) int) map[string]belief {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]belief, len(p.byID))
+	for id, s := range p.byID {
+		out[id] = belief{own(id), len(s.standing) + len(s.links) - len(s.idle)}
+	}
+	return out
+}
+
 // adopt counts a session that a server runs already; false if the server is not known.
 func (p *pool) adopt(id, srv string) bool {
 	p.mu.Lock()
