Copies: commands that ran though their answers were lost count as copies a box makes

Seen: the full check failed once in TestNeverProperty, 'b0 makes 3 copies', not reproduced by its own seed. Checked: the draws went over a map in its order, so that no seed could reproduce it; the case itself is real: two fetches whose answers were lost both ran, and a third was sent. At fault: Manager.fetches counted running jobs only. Change: copies that a box's inventory says are being made count too; the test draws in order.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -367,9 +367,17 @@
 			from[j.from]++
 		}
 	}
+	unled := m.unled()
+	for k := range unled {
+		in[k.Box]++
+	}
 	for _, k := range m.missing() {
 		b, t, j := m.boxes[k.Box], m.titles[k.Title], m.jobs[k]
-		if j != nil && (j.running || now < j.notUntil) || in[k.Box] >= m.AtOnce {
+		others := in[k.Box]
+		if unled[k] {
+			others--
+		}
+		if j != nil && (j.running || now < j.notUntil) || others >= m.AtOnce {
 			continue
 		}
 		if _, begun := b.inv.Copies[k.Title]; !begun && t.Size > b.inv.Free { // what is begun has its room already
@@ -388,13 +396,28 @@
 			m.jobs[k] = j
 		}
 		j.from, j.running, j.told, j.moved, j.done = src.ID, true, now, now, b.inv.Copies[k.Title].Done
-		in[k.Box]++
+		in[k.Box] = others + 1
 		from[src.ID]++
 		out = append(out, Command{Fetch, k.Title, k.Box, src.ID, m.Share * min(src.Link, b.Link) / float64(m.AtOnce), t.Size})
 	}
 	return out
 }
 
+// unled are copies that boxes say they are making and that no running job stands for: commands that ran though their
+// answers were lost. Left out of the count, each of them would let a box make one more copy than it should.
+func (m *Manager) unled() map[Key]bool {
+	out := map[Key]bool{}
+	for id, b := range m.boxes {
+		for t, c := range b.inv.Copies {
+			k := Key{t, id}
+			if j := m.jobs[k]; c.Copying && !c.Whole && (j == nil || !j.running) {
+				out[k] = true
+			}
+		}
+	}
+	return out
+}
+
 // missing is what is wanted at boxes that take work and is not whole there.
 func (m *Manager) missing() (out []Key) {
 	for name, t := range m.titles {
--- a/internal/copies/copies_test.go
+++ b/internal/copies/copies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -268,6 +269,30 @@
 	}
 }
 
+// Commands that ran though their answers were lost count as copies that the box makes.
+func TestLostAnswersCount(t *testing.T) {
+	f := newFleet(5)
+	var keys []Key
+	for _, name := range []string{"t0", "t1", "t2", "t3"} {
+		f.put(name, "b1", "b2", "b3")
+		f.m.SetTitle(Title{Name: name, Size: 1000, Base: []string{"b1", "b2", "b3"}})
+		keys = append(keys, Key{name, "b0"})
+	}
+	f.m.Want(keys)
+	for range 20 {
+		for _, c := range f.step(1500, 1) {
+			f.carry(c)
+			f.m.Answered(c, Failed, f.now)
+		}
+		if n := len(f.fetch); n > f.m.AtOnce {
+			t.Fatalf("b0 makes %d copies", n)
+		}
+	}
+	if len(f.fetch) == 0 {
+		t.Error("nothing is copied")
+	}
+}
+
 // Whatever happens: only whole copies are told, none is dropped that edges may still use, that plays, or below the
 // stated copies; a box takes part in no more copies than it should.
 func TestNeverProperty(t *testing.T) {
@@ -299,8 +324,9 @@
 					}
 				}
 			case 3:
-				for _, c := range f.disks[fmt.Sprint("b", draw(5, "box"))] {
-					if c.Whole {
+				disk := f.disks[fmt.Sprint("b", draw(5, "box"))]
+				for _, name := range slices.Sorted(maps.Keys(disk)) {
+					if c := disk[name]; c.Whole {
 						c.Playing = draw(2, "playing")
 					}
 				}
