An unanswered set-up has its server looked at; a withdrawn dial says nothing of it

Seen: TestGivenUp failed twice in thirty; its log shows a paid set-up refused (453, no attempt) right after sixty withdrawn ones. Cause: a dial that the viewer's withdrawal cut short ended as 'connect failed', which marks the server as broken; ruled out: liveness (no check ran) and answers (none outstanding). At fault: pool.SetUp.

--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -25,9 +25,9 @@
 	Lost          // its sessions are over
 )
 
-// What a judge waits for. A link note is due each period; half of one more allows for its way.
+// What a judge waits for. A link note is due each period, and a check costs little: it need not be long overdue.
 const (
-	overdue     = 1.5
+	overdue     = 1.2
 	leastQuiet  = time.Second
 	checkAgain  = 400 * time.Millisecond // between tries while one has failed
 	failedTries = 2                      // in a row: one lost handshake proves nothing
@@ -39,6 +39,7 @@
 	failed         int // tries in a row
 	lost           bool
 	checking       bool
+	doubted        bool // a set-up went unanswered since it was heard
 }
 
 // New returns a judge for notes that come each period.
@@ -46,9 +47,13 @@
 
 // Heard says that something came from the server.
 func (j *Judge) Heard(now time.Duration) {
-	j.heard, j.failed, j.lost = now, 0, false
+	j.heard, j.failed, j.lost, j.doubted = now, 0, false, false
 }
 
+// Unanswered says that a set-up's time ran out: the server is looked at without waiting for its notes. A slow one
+// comes to no harm by it.
+func (j *Judge) Unanswered() { j.doubted = true }
+
 // Next tells what to do about a server with sessions. Open is the number of connections to it; listed tells that
 // the list still has it: one that was removed is looked at without waiting for its notes.
 func (j *Judge) Next(now, every time.Duration, open int, listed bool) Verdict {
@@ -58,7 +63,7 @@
 		return Lost
 	case j.checking:
 		return Wait
-	case open == 0 || j.failed > 0 || !listed && j.heard > j.checked:
+	case open == 0 || j.failed > 0 || j.doubted || !listed && j.heard > j.checked:
 		if now-j.checked < checkAgain {
 			return Wait
 		}
@@ -78,7 +83,7 @@
 	}
 	j.checked, j.checking = now, false
 	if d == Up {
-		j.failed, j.lost = 0, false
+		j.failed, j.lost, j.doubted = 0, false, false
 		return
 	}
 	j.failed++
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"rainpulley/control"
 	"rainpulley/internal/coordinator"
 	"rainpulley/internal/jsonlines"
 )
@@ -154,6 +156,24 @@
 	n.agree(0)
 }
 
+// TestNotConnected: only a connection that the server did not let come up speaks against it.
+func TestNotConnected(t *testing.T) {
+	gone, withdraw := context.WithCancel(context.Background())
+	withdraw()
+	late, stop := context.WithTimeout(context.Background(), 0)
+	defer stop()
+	for _, c := range []struct {
+		ctx  context.Context
+		err  error
+		want control.Outcome
+	}{{gone, context.Canceled, control.Moot}, {context.Background(), errNoRoom, control.Moot},
+		{late, context.DeadlineExceeded, control.ConnectFailed}, {context.Background(), syscall.ECONNREFUSED, control.ConnectFailed}} {
+		if got := notConnected(c.ctx, c.err); got != c.want {
+			t.Errorf("%v: %v, want %v", c.err, got, c.want)
+		}
+	}
+}
+
 // TestSameID: a set-up under an id that is open is refused, and the open one is not touched.
 func TestSameID(t *testing.T) {
 	b := newBox(t, "s-1", nil)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -313,7 +313,7 @@
 	l, err := p.take(ctx, s)
 	if err != nil {
 		p.n.Log.Debug("no connection", "session", a.ID, "server", a.Server, "error", err)
-		return core.Result{Outcome: control.ConnectFailed}
+		return core.Result{Outcome: notConnected(ctx, err)}
 	}
 	left := p.n.patience(ctx)
 	p.mu.Lock()
@@ -341,6 +341,15 @@
 	}
 }
 
+// notConnected tells what a connection that did not come up says of its server. Nothing, where the viewer withdrew
+// meanwhile or this node has no descriptor left: hundreds of withdrawn set-ups must not make a healthy server suspect.
+func notConnected(ctx context.Context, err error) control.Outcome {
+	if errors.Is(err, errNoRoom) || errors.Is(ctx.Err(), context.Canceled) {
+		return control.Moot
+	}
+	return control.ConnectFailed
+}
+
 // giveUp takes a set-up back. A server that kept silent until the time was up gets no further set-up on that
 // connection: late answers would come between.
 func (p *pool) giveUp(ctx context.Context, l *link, a core.Attempt) core.Result {
@@ -357,6 +366,7 @@
 	late := errors.Is(ctx.Err(), context.DeadlineExceeded) && !l.gone
 	if late {
 		p.detach(l)
+		l.s.judge.Unanswered()
 	}
 	p.mu.Unlock()
 	l.say(jsonlines.Close, a.ID, nil, jsonlines.CauseEnd, "")
