--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,6 +15,7 @@
 
 	"rainpulley/control"
 	"rainpulley/internal/coordinator"
+	"rainpulley/internal/core"
 	"rainpulley/internal/jsonlines"
 )
 
@@ -312,6 +313,35 @@
 	v.say(setUp(idC, "free", "")).want(idC, 200)
 }
 
+// TestLookedAtAgain: a set-up whose server was drained, or whose viewer withdrew, while it waited is not sent.
+func TestLookedAtAgain(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startNode(t, b)
+	eventually(t, "a connection at rest", func() bool {
+		n.pool.mu.Lock()
+		defer n.pool.mu.Unlock()
+		s := n.pool.byID["s-1"]
+		return s != nil && len(s.idle) > 0
+	})
+	long, stop := context.WithTimeout(context.Background(), testFor)
+	defer stop()
+	withdrawn, withdraw := context.WithCancel(long)
+	withdraw()
+	try := core.Attempt{ID: idA, Server: "s-1", Listener: &session{n: n.Node}}
+	if r := n.pool.SetUp(withdrawn, try); r.Outcome != control.Moot {
+		t.Errorf("withdrawn: %v", core.Name(r.Outcome))
+	}
+	n.pool.update([]control.Server{{ID: "s-1", State: control.Draining}}, nil, false)
+	if r := n.pool.SetUp(long, try); r.Outcome != control.Moot {
+		t.Errorf("drained: %v", core.Name(r.Outcome))
+	}
+	n.pool.update([]control.Server{{ID: "s-1", State: control.Ready}}, nil, false)
+	n.dial().say(setUp(idB, "free", ""))
+	if m := b.next(t, "open"); m.ID != idB {
+		t.Errorf("sent all the same: %+v", m.Message)
+	}
+}
+
 // TestReload: at SIGHUP the new coordinator is followed from the same number; an unreadable file changes nothing.
 func TestReload(t *testing.T) {
 	n := startNode(t, newBox(t, "s-1", ready))
