--- a/internal/jsonlines/jsonlines.go
+++ b/internal/jsonlines/jsonlines.go
@@ -17,16 +17,13 @@
 // Most is the longest line in bytes, its end included.
 const Most = 16 << 10
 
-// Types of messages.
+// Types of messages that a front node acts on or sends; others are skipped.
 const (
-	Open     = "open"
-	Trying   = "trying"
-	Ready    = "ready"
-	Close    = "close"
-	Closed   = "closed"
-	Event    = "event"
-	Relocate = "relocate"
-	Level    = "level"
+	Open  = "open"
+	Ready = "ready"
+	Close = "close"
+	Event = "event"
+	Level = "level"
 )
 
 // Causes of a close.
--- a/internal/rtsp/rtsp.go
+++ b/internal/rtsp/rtsp.go
@@ -67,9 +67,6 @@
 	return err
 }
 
-// Begun tells whether bytes of a further message are here already.
-func (d *Reader) Begun() bool { return d.r.Buffered() > 0 }
-
 // Next reads one message. After an error the stream cannot be read on. An *Error says what to answer;
 // io.EOF is a stream that ended between messages.
 func (d *Reader) Next() (*Message, error) {
@@ -187,18 +184,16 @@
 	return s != ""
 }
 
+// reasons are the status codes' phrases (RFC 2326, section 7.1.1).
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 408: "Request Time-out", 413: "Request Entity Too Large",
 	453: "Not Enough Bandwidth", 454: "Session Not Found", 500: "Internal Server Error", 501: "Not Implemented",
 	503: "Service Unavailable", 504: "Gateway Time-out"}
 
-// Reason is a status code's phrase (RFC 2326, section 7.1.1).
-func Reason(status int) string { return reasons[status] }
-
 // AppendResponse appends a response. Headers are names and values in turn; empty values are left out.
 func AppendResponse(b []byte, status int, headers []string, body []byte) []byte {
 	b = append(b, "RTSP/1.0 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
-	b = append(append(b, ' '), Reason(status)...)
+	b = append(append(b, ' '), reasons[status]...)
 	return appendRest(b, headers, body)
 }
 
