Releases to viewers survive their connection: kept until confirmed, sent again on the next

Need: a release counted as told once it was queued on a connection; one that ended before the bytes were written or read lost it, and a viewer without an open connection was only logged. A connection with an unwritten answer ranks with those that wait and is not closed for another's sake.

--- /dev/null
+++ b/internal/delivery/delivery_test.go
@@ -0,0 +1,153 @@
+package delivery
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	lifetime = 8 * time.Second
+	doubt    = time.Second
+)
+
+// modelEntry is one message in the plainest model: a list that is searched.
+type modelEntry struct {
+	key     string
+	at      time.Duration
+	sentOn  ConnectionID
+	sentAt  time.Duration
+	settled bool // confirmed, or its connection outlived the doubt
+}
+
+// pendingMachine drives a Pending and its model through random interleavings.
+type pendingMachine struct {
+	pending *Pending[int]
+	model   []*modelEntry
+	now     time.Duration
+	opened  ConnectionID
+	open    []ConnectionID
+}
+
+func (m *pendingMachine) find(key string) *modelEntry {
+	for _, e := range m.model {
+		if e.key == key {
+			return e
+		}
+	}
+	return nil
+}
+
+func (m *pendingMachine) drawEntry(t *rapid.T) *modelEntry {
+	if len(m.model) == 0 {
+		t.Skip("nothing added")
+	}
+	return rapid.SampledFrom(m.model).Draw(t, "entry")
+}
+
+func (m *pendingMachine) Add(t *rapid.T) {
+	key := fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "key"))
+	m.pending.Add(key, len(m.model), m.now)
+	if m.find(key) == nil {
+		m.model = append(m.model, &modelEntry{key: key, at: m.now})
+	}
+}
+
+func (m *pendingMachine) Open(*rapid.T) {
+	m.opened++
+	m.open = append(m.open, m.opened)
+}
+
+func (m *pendingMachine) Send(t *rapid.T) {
+	if len(m.open) == 0 {
+		t.Skip("no connection")
+	}
+	on := rapid.SampledFrom(m.open).Draw(t, "connection")
+	for _, message := range m.pending.Waiting() {
+		m.pending.Sent(message.Key, on, m.now)
+		e := m.find(message.Key)
+		e.sentOn, e.sentAt = on, m.now
+	}
+}
+
+func (m *pendingMachine) Confirm(t *rapid.T) {
+	e := m.drawEntry(t)
+	m.pending.Confirmed(e.key)
+	e.settled = true
+}
+
+func (m *pendingMachine) End(t *rapid.T) {
+	if len(m.open) == 0 {
+		t.Skip("no connection")
+	}
+	i := rapid.IntRange(0, len(m.open)-1).Draw(t, "connection")
+	ended := m.open[i]
+	m.open = slices.Delete(m.open, i, i+1)
+	want := 0
+	for _, e := range m.model {
+		if e.settled || e.sentOn != ended {
+			continue
+		}
+		if m.now-e.sentAt > doubt {
+			e.settled = true
+			continue
+		}
+		e.sentOn = noConnection
+		want++
+	}
+	if got := m.pending.ConnectionEnded(ended, m.now); got != want {
+		t.Fatalf("%d messages wait again, want %d", got, want)
+	}
+}
+
+func (m *pendingMachine) Pass(t *rapid.T) {
+	m.now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond
+}
+
+func (m *pendingMachine) Expire(t *rapid.T) {
+	var want []string
+	for _, e := range m.model {
+		if !e.settled && m.now-e.at > lifetime && e.sentOn == noConnection {
+			want = append(want, e.key)
+		}
+	}
+	if got := m.pending.Expire(m.now); !slices.Equal(got, want) {
+		t.Fatalf("undelivered %v, want %v", got, want)
+	}
+	m.model = slices.DeleteFunc(m.model, func(e *modelEntry) bool { return m.now-e.at > lifetime })
+}
+
+// Check compares what waits, and that nothing is held that has settled.
+func (m *pendingMachine) Check(t *rapid.T) {
+	m.model = slices.DeleteFunc(m.model, func(e *modelEntry) bool { return e.settled })
+	var want []string
+	for _, e := range m.model {
+		if e.sentOn == noConnection {
+			want = append(want, e.key)
+		}
+	}
+	var got []string
+	for _, message := range m.pending.Waiting() {
+		got = append(got, message.Key)
+	}
+	if !slices.Equal(got, want) {
+		t.Fatalf("waiting %v, want %v", got, want)
+	}
+	if m.pending.HasWaiting() != (len(want) > 0) {
+		t.Fatalf("HasWaiting %v with %v waiting", m.pending.HasWaiting(), want)
+	}
+	if m.pending.Len() != len(m.model) {
+		t.Fatalf("holds %d, want %d", m.pending.Len(), len(m.model))
+	}
+}
+
+// TestInterleavings: whatever the order of events, a message waits, is on a connection that lives, or has arrived.
+func TestInterleavings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &pendingMachine{pending: New[int](lifetime, doubt)}
+		t.Repeat(rapid.StateMachineActions(m))
+	})
+}
--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -281,7 +281,7 @@
 	c.out.put(func(b []byte) []byte { return append(b, "the answer"...) })
 	closed := make(chan struct{})
 	go func() { defer close(closed); v.closeAll() }()
-	eventually(t, "the answer written", func() bool { v.mu.Lock(); over := v.over; v.mu.Unlock(); return over && !c.writing() })
+	eventually(t, "the answer written", func() bool { v.mu.Lock(); over := v.over; v.mu.Unlock(); return over && !c.out.busy() })
 	_, _ = io.CopyN(io.Discard, conn, int64(len(unread))) // the reader's turn
 	v.mu.Lock()
 	delete(v.all, c)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,6 +143,7 @@
 	}
 	n.goes(func() { n.follow.Run(inner) })
 	n.goes(func() { n.pool.keepUp(inner) })
+	n.goes(func() { n.viewers.keepNotices(inner) })
 	n.goes(func() { n.reloads(inner, hangup) })
 	if log := n.Log; log.Enabled(inner, slog.LevelDebug) {
 		n.goes(func() { n.compare(inner) })
--- /dev/null
+++ b/internal/node/notices_test.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"testing"
+
+	"rainpulley/internal/jsonlines"
+)
+
+const ping = "OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n"
+
+// endServed has a server end a session.
+func (m said) endServed() {
+	m.on.say(`{"msg":"close","sid":%q,"attrs":{},"code":%d}`, m.ID, jsonlines.CauseEnd)
+}
+
+// confirm answers a release, as usual viewers do.
+func (d *dialogue) confirm(id string) {
+	d.say("RTSP/1.0 200 OK\r\nCSeq: 2\r\nSession: " + id + "\r\nContent-Length: 0\r\n\r\n")
+}
+
+// heldNotices is how many notices the node holds for all viewers.
+func (r *rig) heldNotices() (held int) {
+	r.viewers.mu.Lock()
+	defer r.viewers.mu.Unlock()
+	for _, pending := range r.viewers.notices {
+		held += pending.Len()
+	}
+	return held
+}
+
+// TestNoticeWithoutConnection: a viewer that has no connection when its session ends is told on the next one.
+func TestNoticeWithoutConnection(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startNode(t, b)
+	v := n.dial().say(setUp(idA, "free", ""))
+	open := b.next(t, "open")
+	ready(open)
+	v.want(idA, 200)
+	n.agree(1)
+	_ = v.Close()
+	eventually(t, "the connection over", func() bool { n.viewers.mu.Lock(); defer n.viewers.mu.Unlock(); return len(n.viewers.all) == 0 })
+	open.endServed()
+	n.agree(0)
+	back := n.dial().say(ping)
+	back.wantRelease(idA, "cause=16")
+	back.want("", 200)
+	back.confirm(idA)
+	eventually(t, "the notice forgotten", func() bool { return n.heldNotices() == 0 })
+}
+
+// TestNoticeCrossesClose: a notice is handed to a connection which ends before the viewer has confirmed it. It is sent
+// again on another connection of the viewer, and one that was confirmed is not.
+func TestNoticeCrossesClose(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startNode(t, b)
+	first := n.dial()
+	var opened [2]said
+	for i, id := range []string{idA, idB} {
+		first.say(setUp(id, "free", ""))
+		opened[i] = b.next(t, "open")
+		ready(opened[i])
+		first.want(id, 200)
+	}
+	second := n.dial().say(ping)
+	second.want("", 200)
+	opened[0].endServed()
+	first.wantRelease(idA, "cause=16")
+	first.confirm(idA)
+	eventually(t, "the notice confirmed", func() bool { return n.heldNotices() == 0 })
+	opened[1].endServed()
+	eventually(t, "the notice handed over", func() bool { return n.heldNotices() == 1 })
+	_ = first.Close()
+	second.wantRelease(idB, "cause=16")
+	second.confirm(idB)
+	eventually(t, "the notice confirmed", func() bool { return n.heldNotices() == 0 })
+	second.silent()
+}
+
+// TestUnwrittenAnswerIsNotEvicted: a connection whose answer is not written yet ranks with those that wait for one.
+func TestUnwrittenAnswerIsNotEvicted(t *testing.T) {
+	n := startNode(t, newBox(t, "s-1", ready))
+	v := n.dial().say(ping)
+	v.want("", 200)
+	var c *viewer
+	n.viewers.mu.Lock()
+	for o := range n.viewers.all {
+		c = o
+	}
+	n.viewers.mu.Unlock()
+	eventually(t, "all written", func() bool { return !c.out.busy() })
+	if rank, _ := c.evictionRank(c.at.Add(testFor)); rank != unusedConnection {
+		t.Errorf("rank %d of a connection without use", rank)
+	}
+	c.out.mu.Lock()
+	c.out.writing = true // its writer has not come to it
+	c.out.mu.Unlock()
+	if rank, _ := c.evictionRank(c.at.Add(testFor)); rank != waitingConnection {
+		t.Errorf("rank %d of a connection with an unwritten answer", rank)
+	}
+	c.out.mu.Lock()
+	c.out.writing = false
+	c.out.mu.Unlock()
+}
--- a/internal/node/outbox.go
+++ b/internal/node/outbox.go
@@ -21,8 +21,8 @@
 }
 
 const (
-	mostPending = 256 << 10
-	writeFor    = 2 * time.Second
+	mostPending  = 256 << 10
+	writeTimeout = 2 * time.Second
 )
 
 // put queues what add appends; false if the connection is over.
@@ -42,6 +42,13 @@
 	return true
 }
 
+// busy tells that something is still to be written.
+func (o *outbox) busy() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.writing
+}
+
 func (o *outbox) start() {
 	if !o.writing {
 		o.writing = true
@@ -75,7 +82,7 @@
 		b := o.pending
 		o.pending, o.spare = o.spare[:0], nil
 		o.mu.Unlock()
-		_ = o.conn.SetWriteDeadline(time.Now().Add(writeFor))
+		_ = o.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		_, err := o.conn.Write(b)
 		o.mu.Lock()
 		if cap(b) <= 32<<10 {
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -7,7 +7,6 @@
 
 	"rainpulley/control"
 	"rainpulley/internal/core"
-	"rainpulley/internal/jsonlines"
 	"rainpulley/internal/rtsp"
 )
 
@@ -77,17 +76,7 @@
 	if left || o == control.Cancelled && !moved {
 		return
 	}
-	cause := jsonlines.CauseReset
-	if o == control.Served {
-		cause = jsonlines.CauseEnd
-	}
-	s.n.tell(s, func(b []byte) []byte {
-		if moved {
-			return rtsp.AppendRequest(b, "REDIRECT", s.uri, []string{"CSeq", "4", "Session", s.id}, nil)
-		}
-		return rtsp.AppendRequest(b, "TEARDOWN", s.uri, []string{"CSeq", "2", "Session", s.id,
-			"Reason", "cause=" + strconv.Itoa(cause)}, nil)
-	})
+	s.n.viewers.notify(&notice{origin: c, id: s.id, uri: s.uri, moved: moved, cause: releaseCause(o == control.Served)})
 }
 
 // Closed forgets it.
--- a/internal/node/viewers.go
+++ b/internal/node/viewers.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"rainpulley/internal/delivery"
 	"rainpulley/internal/rtsp"
 )
 
@@ -19,9 +20,11 @@
 	n    *Node
 	most int
 
-	mu   sync.Mutex
-	all  map[*viewer]struct{}
-	over bool
+	mu      sync.Mutex
+	all     map[*viewer]struct{}
+	opened  delivery.ConnectionID                 // the last connection's
+	notices map[string]*delivery.Pending[*notice] // that viewers may not have been told, by their address
+	over    bool
 
 	leaving atomic.Bool // no further set-up is taken: its answer is a refusal at once
 }
@@ -29,6 +32,7 @@
 // viewer is one connection of a viewer, or of many: sessions share it.
 type viewer struct {
 	n    *Node
+	id   delivery.ConnectionID
 	conn net.Conn
 	out  outbox
 	from string // address without port
@@ -55,7 +59,7 @@
 )
 
 func newViewers(n *Node, most int) *viewers {
-	return &viewers{n: n, most: most, all: map[*viewer]struct{}{}}
+	return &viewers{n: n, most: most, all: map[*viewer]struct{}{}, notices: map[string]*delivery.Pending[*notice]{}}
 }
 
 // serve takes connections until the listener closes, or until none has come for a while when the node leaves: a
@@ -75,7 +79,7 @@
 			continue
 		case err != nil: // the peer has gone already, or no descriptor is left: then one is freed, or waited for
 			v.n.Log.Debug("accept", "error", err)
-			if least := v.leastMissed(time.Now()); noDescriptor(err) && least != nil {
+			if least := v.evictionCandidate(time.Now()); noDescriptor(err) && least != nil {
 				least.close()
 			}
 			time.Sleep(acceptPause)
@@ -121,7 +125,7 @@
 	full := len(v.all) >= v.most
 	v.mu.Unlock()
 	if full {
-		least := v.leastMissed(now)
+		least := v.evictionCandidate(now)
 		if least == nil {
 			_ = conn.Close()
 			return
@@ -129,50 +133,54 @@
 		least.close()
 	}
 	v.mu.Lock()
+	v.opened++
+	c.id = v.opened
 	v.all[c] = struct{}{}
 	v.mu.Unlock()
 	v.n.goes(c.read)
 }
 
-// leastMissed is the connection whose end harms least; nil where all wait for answers.
-func (v *viewers) leastMissed(now time.Time) (least *viewer) {
+// evictionCandidate is the connection whose end harms least; nil where all wait for answers.
+func (v *viewers) evictionCandidate(now time.Time) (least *viewer) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	worst, longest := waits, now
+	worst, longest := waitingConnection, now
 	for o := range v.all {
-		if r, since := o.missed(now); r < worst || r == worst && r != waits && since.Before(longest) {
+		if r, since := o.evictionRank(now); r < worst || r == worst && r != waitingConnection && since.Before(longest) {
 			least, worst, longest = o, r, since
 		}
 	}
 	return least
 }
 
-// Ranks of connections, by what their end would harm.
+// evictionRank orders connections by the harm that their end would do.
+type evictionRank int
+
 const (
-	saysNothing = iota // for longer than a request needs to follow its connection
-	unused
-	young
-	hasSessions // that stand: they are tied to no connection, their end is told on another
-	waits       // for an answer
+	silentConnection evictionRank = iota // has said nothing for longer than a request needs to follow its connection
+	unusedConnection
+	youngConnection
+	sessionConnection // with sessions that stand: they are tied to no connection, their end is told on another
+	waitingConnection // for an answer, or an answer or a notice is still to be written
 )
 
 const speaksWithin = 100 * time.Millisecond
 
-// missed ranks a connection, and tells when it was last used.
-func (c *viewer) missed(now time.Time) (int, time.Time) {
+// evictionRank ranks a connection, and tells when it was last used.
+func (c *viewer) evictionRank(now time.Time) (evictionRank, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case !c.spoke && now.Sub(c.at) < speaksWithin:
-		return young, c.used
+		return youngConnection, c.used
 	case !c.spoke:
-		return saysNothing, c.used
-	case len(c.open) > 0:
-		return waits, c.used
+		return silentConnection, c.used
+	case len(c.open) > 0 || c.out.busy():
+		return waitingConnection, c.used
 	case c.stands > 0:
-		return hasSessions, c.used
+		return sessionConnection, c.used
 	}
-	return unused, c.used
+	return unusedConnection, c.used
 }
 
 // close ends a connection at once; the viewers of set-ups on it have gone.
@@ -197,6 +205,7 @@
 	v := c.n.viewers
 	v.mu.Lock()
 	delete(v.all, c)
+	v.resendNotices(c)
 	v.mu.Unlock()
 	for _, s := range gone {
 		c.n.Log.Debug("viewer gone with its connection", "session", s.id, "from", c.conn.RemoteAddr())
@@ -242,15 +251,27 @@
 		}
 		_ = c.conn.SetReadDeadline(time.Time{})
 		c.mu.Lock()
+		first := !c.spoke
 		c.spoke, c.used = true, time.Now()
 		c.mu.Unlock()
-		c.hear(m)
+		if first {
+			c.n.viewers.firstMessage(c)
+		}
+		c.handle(m)
 	}
 }
 
-func (c *viewer) hear(m *rtsp.Message) {
+// firstMessage sends a viewer that has come back what it was not told meanwhile.
+func (v *viewers) firstMessage(c *viewer) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.sendNotices(c.from)
+}
+
+func (c *viewer) handle(m *rtsp.Message) {
 	switch m.Method {
-	case "": // an answer to a release
+	case "": // an answer to a notice
+		c.n.viewers.confirmNotice(c.from, m.Get("Session"))
 	case "SETUP":
 		c.setUp(m)
 	case "TEARDOWN":
@@ -332,37 +353,6 @@
 	c.reply(m, 200)
 }
 
-// tell writes to the viewer of a session: on the connection that it began on, or else on one of the same address.
-func (n *Node) tell(s *session, add func([]byte) []byte) {
-	s.mu.Lock()
-	c := s.conn
-	s.mu.Unlock()
-	if c.out.put(add) {
-		return
-	}
-	v := n.viewers
-	v.mu.Lock()
-	var best *viewer
-	rank, now := saysNothing, time.Now()
-	for o := range v.all {
-		if o.from == c.from {
-			if r, _ := o.missed(now); r > rank && r != young {
-				best, rank = o, r
-			}
-		}
-	}
-	v.mu.Unlock()
-	if best == nil || !best.out.put(add) {
-		n.Log.Warn("viewer not told of its session's end", "session", s.id)
-	}
-}
-
-func (c *viewer) writing() bool {
-	c.out.mu.Lock()
-	defer c.out.mu.Unlock()
-	return c.out.writing
-}
-
 // closeAll ends all connections and takes no further one. Writing halves go first, and what viewers still send is read
 // for a moment: closing with unread bytes resets the connection, and an answer just written could be lost with it.
 func (v *viewers) closeAll() {
@@ -376,7 +366,7 @@
 	for _, c := range all {
 		c.out.finish()
 	}
-	within(flushFor, func() bool { return !slices.ContainsFunc(all, (*viewer).writing) })
+	within(flushFor, func() bool { return !slices.ContainsFunc(all, func(c *viewer) bool { return c.out.busy() }) })
 	within(hearOut, func() bool {
 		v.mu.Lock()
 		defer v.mu.Unlock()
