Servers with sessions take turns at the connections: no release unheard where places are few

Ruled out: the viewer's side (17,857 releases, 17,857 confirmed), the liveness judge (it never got a result), late answers (none). Lines at fault: pool.dial refused a check whenever all places were taken, and nothing ever freed one for it. Change: watch gives places in the order in which servers lost their last connection; one without for 3 s takes that of a server that had its turn (reserve.go). Deferred checks do not wait 0.4 s. Releases to servers are held by internal/delivery, too: the cap of 64 that dropped them silently is gone, and one whose connection ended within 3 s is sent again. Ends ahead of their session: cap 64 to 4,096, logged. servers.go is split by concern (pool, reading, watch, reserve), touched names are the field's. Tests: 350 servers with 64, 256, 640 descriptors, turns, a release that crosses a close; each seen to fail without its mend.

--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -93,6 +93,9 @@
 // Unknown says that a check came to nothing for reasons that are not the server's.
 func (j *Judge) Unknown(now time.Duration) { j.checked, j.checking = now, false }
 
+// Deferred says that a check could not begin: it is asked for again at the next look.
+func (j *Judge) Deferred() { j.checking = false }
+
 // Dialled says what came of a set-up's own try to connect. It is given less time than a check: that it did not come up
 // has the server looked at, and proves nothing (seen: two late ones beside a check, and sessions that played on were
 // released). Refused while connections are open may only mean that the server takes no more of them: the notes will tell.
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -181,7 +181,10 @@
 	r.pool.mu.Lock()
 	s := r.pool.byID[b.id]
 	r.pool.mu.Unlock()
-	l, err := r.pool.dial(context.Background(), s, testFor, false)
+	if !r.pool.reserveFree() {
+		r.t.Fatal("no place for a connection")
+	}
+	l, err := r.pool.dial(context.Background(), s, testFor, forSetUp)
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -323,7 +326,7 @@
 	n.agree(1)
 	n.pool.mu.Lock()
 	s := n.pool.byID["s-1"]
-	l := s.any()
+	l := s.anyLink()
 	l.say("close", idA, nil, 31, "")
 	n.pool.retire(l)
 	links, left := n.pool.links, len(s.links)
@@ -599,7 +602,7 @@
 	on := b.conns[0]
 	b.mu.Unlock()
 	on.say(`{"msg":"close","sid":%q,"code":16}`, idA)
-	eventually(t, "the end heard", func() bool { n.pool.mu.Lock(); defer n.pool.mu.Unlock(); return len(n.pool.byID["s-1"].early) == 1 })
+	eventually(t, "the end heard", func() bool { n.pool.mu.Lock(); defer n.pool.mu.Unlock(); return len(n.pool.byID["s-1"].earlyEnds) == 1 })
 	v := n.dial().say(setUp(idA, "free", ";at:s-1"))
 	v.wantRelease(idA, "cause=16")
 	v.say(setUp(idB, "free", ";at:s-1"))
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -9,28 +9,32 @@
 
 	"rainpulley/control"
 	"rainpulley/internal/core"
+	"rainpulley/internal/delivery"
 	"rainpulley/internal/jsonlines"
 	"rainpulley/internal/liveness"
 )
 
 // link is one connection to a server.
 type link struct {
-	s     *server
-	conn  net.Conn
-	out   outbox
-	sid   string // of the set-up or the test on it
-	probe bool   // it is a test
-	reply chan core.Result
-	gone  bool          // out of use; under the pool's lock
-	heard time.Duration // of the last line that came or set-up that went: the server's idle time-out counts from there
-	used  time.Duration // of the last set-up's end; 0: none yet
+	s      *server
+	id     delivery.ConnectionID
+	opened time.Duration
+	conn   net.Conn
+	out    outbox
+	sid    string // of the set-up or the test on it
+	probe  bool   // it is a test
+	reply  chan core.Result
+	gone   bool          // out of use; under the pool's lock
+	heard  time.Duration // of the last line that came or set-up that went: the server's idle time-out counts from there
+	used   time.Duration // of the last set-up's end; 0: none yet
 }
 
 const (
-	lingerFor = 500 * time.Millisecond // a connection that is given up stays so long, to pass on what was written
-	restFor   = 3 * time.Second        // a connection stays open so long after a set-up
-	keptIdle  = 1                      // connections that stay open longer than that to a server without sessions
-	idlePart  = 0.8                    // of the servers' idle time-out: by then this side has closed
+	lingerTimeout  = 500 * time.Millisecond // a connection that is given up stays so long, to pass on what was written
+	surplusTimeout = 3 * time.Second        // a connection stays open so long after a set-up
+	keptIdle       = 1                      // connections that stay open longer than that to a server without sessions
+	idleShare      = 0.8                    // of the servers' idle time-out: by then this side has closed
+	renewDelay     = 100 * time.Millisecond // so long after a connection's end its server has surely seen it
 )
 
 // drop closes a link at once; a set-up on it ends as reset.
@@ -39,12 +43,10 @@
 		return
 	}
 	p.detach(l)
-	p.links--
-	l.out.stop()
-	_ = l.conn.Close()
+	p.closeSocket(l)
 	if l.sid != "" {
 		if !l.probe {
-			l.s.stray[l.sid] = true
+			l.s.abandoned[l.sid] = true
 		}
 		l.deliver(core.Result{Outcome: control.Reset})
 	}
@@ -59,20 +61,28 @@
 	p.detach(l)
 	p.retired[l] = struct{}{}
 	l.out.finish()
-	time.AfterFunc(lingerFor, func() {
+	time.AfterFunc(lingerTimeout, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.bury(l)
+		p.closeRetired(l)
 	})
 }
 
-// bury closes a retired link.
-func (p *pool) bury(l *link) {
+// closeRetired closes a retired link.
+func (p *pool) closeRetired(l *link) {
 	if _, ok := p.retired[l]; ok {
 		delete(p.retired, l)
-		p.links--
-		l.out.stop()
-		_ = l.conn.Close()
+		p.closeSocket(l)
+	}
+}
+
+// closeSocket frees a link's descriptor. Releases that were sent on it a moment ago go on another one.
+func (p *pool) closeSocket(l *link) {
+	p.links--
+	l.out.stop()
+	_ = l.conn.Close()
+	if l.s.releases.ConnectionEnded(l.id, p.n.now()) > 0 {
+		p.sendReleases(l.s)
 	}
 }
 
@@ -81,6 +91,9 @@
 	l.gone = true
 	l.s.links = without(l.s.links, l)
 	l.s.idle = without(l.s.idle, l)
+	if len(l.s.links) == 0 {
+		l.s.unconnectedSince = p.n.now()
+	}
 }
 
 func without(list []*link, l *link) []*link {
@@ -102,90 +115,66 @@
 	return true
 }
 
-// room makes room for one more connection. Where all are in use the idle one goes that is least missed: of a server
-// without sessions, of one with further connections, then any; of these the longest unused.
-func (p *pool) room() bool {
-	if p.links < p.most {
-		return true
-	}
-	var least *link
-	rank := 0
-	for _, s := range p.byID {
-		if len(s.idle) == 0 {
-			continue
-		}
-		l, r := s.idle[0], 1
-		switch {
-		case len(s.standing) == 0:
-			r = 3
-		case len(s.links) > 1:
-			r = 2
-		}
-		if least == nil || r > rank || r == rank && l.used < least.used {
-			least, rank = l, r
-		}
-	}
-	if least == nil {
-		return false
-	}
-	p.drop(least)
-	return true
-}
-
 var (
 	errNoRoom = errors.New("node: no descriptor left for a connection to a server")
 	errMoved  = errors.New("node: the server is another by now")
 )
 
-// dial opens a link to a server within a time and tells its judge what came of it. A check takes no other connection's
-// place.
-func (p *pool) dial(ctx context.Context, s *server, within time.Duration, check bool) (*link, error) {
-	told := s.judge.Dialled
-	if check {
-		told = s.judge.Checked
-	}
+// dial opens a link to a server within a time, on a place that was reserved for it, and tells the server's judge what
+// came of it.
+func (p *pool) dial(ctx context.Context, s *server, within time.Duration, why purpose) (*link, error) {
 	p.mu.Lock()
-	ok, addr := p.links < p.most || !check && p.room(), s.addr
-	if ok {
-		p.links++
-		if s.renewAt > 0 && p.n.now() >= s.renewAt {
-			s.renewAt = 0
-		}
+	addr := s.addr
+	if s.renewAt > 0 && p.n.now() >= s.renewAt {
+		s.renewAt = 0
 	}
 	p.mu.Unlock()
-	if !ok {
-		return nil, errNoRoom
-	}
 	conn, err := p.n.Dial(ctx, addr, within)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
-		p.links--
-		p.renew(s, 0)
-		if noDescriptor(err) { // says nothing of the server
-			return nil, errNoRoom
-		}
-		if ctx.Err() == nil {
-			told(p.n.now(), dialled(err), len(s.links))
-		}
-		return nil, err
+		return nil, p.dialFailed(ctx, s, err, why)
 	}
 	if s.addr != addr || p.byID[s.id] != s { // told while it came up: nobody would close it
 		p.links--
 		_ = conn.Close()
 		return nil, errMoved
 	}
+	p.tellJudge(s, liveness.Up, why)
+	return p.addLink(s, conn), nil
+}
+
+// dialFailed gives the reserved place back. An error of this side's own limits says nothing of the server.
+func (p *pool) dialFailed(ctx context.Context, s *server, err error, why purpose) error {
+	p.links--
+	p.renew(s, 0)
+	if noDescriptor(err) {
+		return errNoRoom
+	}
+	if ctx.Err() == nil {
+		p.tellJudge(s, dialled(err), why)
+	}
+	return err
+}
+
+func (p *pool) tellJudge(s *server, result liveness.Dialled, why purpose) {
+	if why == forCheck {
+		s.judge.Checked(p.n.now(), result, len(s.links))
+		return
+	}
+	s.judge.Dialled(p.n.now(), result, len(s.links))
+}
+
+// addLink puts a connection that came up into use.
+func (p *pool) addLink(s *server, conn net.Conn) *link {
+	p.opened++
 	now := p.n.now()
-	told(now, liveness.Up, len(s.links))
-	l := &link{s: s, conn: conn, reply: make(chan core.Result, 1), heard: now}
+	l := &link{s: s, id: p.opened, opened: now, conn: conn, reply: make(chan core.Result, 1), heard: now}
 	l.out.conn, l.out.fail = conn, func() { p.close(l) }
 	s.links = append(s.links, l)
 	go p.read(l)
-	for _, id := range s.owed {
-		l.say(jsonlines.Close, id, nil, jsonlines.CauseCancelled, "")
-	}
-	s.owed = nil
-	return l, nil
+	p.sendReleases(s)
+	return l
 }
 
 func dialTCP(ctx context.Context, addr string, within time.Duration) (net.Conn, error) {
@@ -210,7 +199,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.drop(l)
-	p.renew(l.s, renewAfter)
+	p.renew(l.s, renewDelay)
 }
 
 // renew has a connection to a server with sessions opened in a while, though others may be open. A release that the
@@ -241,14 +230,18 @@
 		}
 		p.retire(l)
 	}
+	reserved := p.reserveForSetUp()
 	p.mu.Unlock()
-	return p.dial(ctx, s, p.n.Config.Platform.ConnectTimeout, false)
+	if !reserved {
+		return nil, errNoRoom
+	}
+	return p.dial(ctx, s, p.n.Config.Platform.ConnectTimeout, forSetUp)
 }
 
 // stale tells a link that its server may close at any moment.
 func (p *pool) stale(l *link, now time.Duration) bool {
 	idle := p.n.Config.Platform.ConnIdle
-	return idle > 0 && now-l.heard > time.Duration(idlePart*float64(idle))
+	return idle > 0 && now-l.heard > time.Duration(idleShare*float64(idle))
 }
 
 // free puts a link back. It is not closed at once even where there are many: a server to which a connection
@@ -263,10 +256,10 @@
 	}
 }
 
-// thin closes what a server has too many of, the longest idle first, and what its server would close soon. While
+// closeSurplus closes what a server has too many of, the longest idle first, and what its server would close soon. While
 // sessions stand there all stay: a release may be on its way on any.
-func (p *pool) thin(s *server, now time.Duration) {
-	for len(s.idle) > 0 && (p.stale(s.idle[0], now) || len(s.standing) == 0 && len(s.idle) > keptIdle && now-s.idle[0].used > restFor) {
+func (p *pool) closeSurplus(s *server, now time.Duration) {
+	for len(s.idle) > 0 && (p.stale(s.idle[0], now) || len(s.standing) == 0 && len(s.idle) > keptIdle && now-s.idle[0].used > surplusTimeout) {
 		p.retire(s.idle[0])
 	}
 }
@@ -279,12 +272,12 @@
 		p.closeAll(s)
 	}
 	for l := range p.retired {
-		p.bury(l)
+		p.closeRetired(l)
 	}
 }
 
-// any is a link for what is tied to none; one that was used lately first.
-func (s *server) any() *link {
+// anyLink is a link for what is tied to none; one that was used lately first.
+func (s *server) anyLink() *link {
 	if n := len(s.idle); n > 0 {
 		return s.idle[n-1]
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,7 +91,7 @@
 	return 0
 }
 
-func (n *Node) goes(f func()) {
+func (n *Node) start(f func()) {
 	n.work.Go(f)
 }
 
@@ -141,15 +141,15 @@
 			return fmt.Errorf("listen: %w", err)
 		}
 	}
-	n.goes(func() { n.follow.Run(inner) })
-	n.goes(func() { n.pool.keepUp(inner) })
-	n.goes(func() { n.viewers.keepNotices(inner) })
-	n.goes(func() { n.reloads(inner, hangup) })
+	n.start(func() { n.follow.Run(inner) })
+	n.start(func() { n.pool.keepUp(inner) })
+	n.start(func() { n.viewers.keepNotices(inner) })
+	n.start(func() { n.reloads(inner, hangup) })
 	if log := n.Log; log.Enabled(inner, slog.LevelDebug) {
-		n.goes(func() { n.compare(inner) })
+		n.start(func() { n.compare(inner) })
 	}
 	listening := make(chan struct{})
-	n.goes(func() { defer close(listening); n.viewers.serve(l) })
+	n.start(func() { defer close(listening); n.viewers.serve(l) })
 	n.Log.Info("ready", "name", n.Config.Name, "listen", n.Config.Listen)
 	<-term.Done()
 	n.leave()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -108,7 +108,7 @@
 			eventually(t, "a connection, accepted", func() bool {
 				n.pool.mu.Lock()
 				defer n.pool.mu.Unlock()
-				return n.pool.byID["s-1"].any() != nil && (b.accepted() > before || name == "no text")
+				return n.pool.byID["s-1"].anyLink() != nil && (b.accepted() > before || name == "no text")
 			})
 			b.mu.Lock()
 			last := b.conns[len(b.conns)-1]
@@ -395,7 +395,7 @@
 	})
 	n.pool.mu.Lock()
 	s, now := n.pool.byID["s-1"], n.now()
-	n.pool.thin(s, now+2*restFor)
+	n.pool.closeSurplus(s, now+2*surplusTimeout)
 	standing := len(s.links) // a release may be on its way on any
 	n.pool.mu.Unlock()
 	for _, m := range opens {
@@ -407,9 +407,9 @@
 	for _, l := range s.idle {
 		l.used = now
 	}
-	n.pool.thin(s, now+restFor/2)
+	n.pool.closeSurplus(s, now+surplusTimeout/2)
 	early := len(s.links)
-	n.pool.thin(s, now+2*restFor)
+	n.pool.closeSurplus(s, now+2*surplusTimeout)
 	late := len(s.links)
 	n.pool.mu.Unlock()
 	if standing < len(opens) || early < len(opens) || late != keptIdle {
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -101,3 +101,24 @@
 	c.out.writing = false
 	c.out.mu.Unlock()
 }
+
+// TestReleaseToServerCrossesClose: a viewer ends its session as the connection to the server ends. The release that was
+// written on it goes on the next one too, which is opened for it.
+func TestReleaseToServerCrossesClose(t *testing.T) {
+	b := newBox(t, "s-1", ready)
+	n := startNode(t, b)
+	v := n.dial().say(setUp(idA, "free", ""))
+	v.want(idA, 200)
+	n.agree(1)
+	v.say(tearDown(idA))
+	first := b.next(t, jsonlines.Close)
+	if first.ID != idA || first.Cause() != jsonlines.CauseCancelled {
+		t.Fatalf("%+v", first.Message)
+	}
+	_ = first.on.Close()
+	second := b.next(t, jsonlines.Close)
+	if second.ID != idA || second.on == first.on {
+		t.Errorf("%+v", second.Message)
+	}
+	n.agree(0)
+}
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -18,7 +18,7 @@
 	p.probes++
 	sid := fmt.Sprintf("%016x", p.n.Config.Seed+p.probes)
 	p.mu.Unlock()
-	p.n.goes(func() {
+	p.n.start(func() {
 		result := control.Probed{Server: id}
 		if s != nil {
 			result.OK, result.Load = p.probe(s, sid)
--- /dev/null
+++ b/internal/node/reading.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"log/slog"
+
+	"rainpulley/control"
+	"rainpulley/internal/core"
+	"rainpulley/internal/jsonlines"
+	"rainpulley/internal/wire"
+)
+
+// read takes what a server says on one connection until it ends.
+func (p *pool) read(l *link) {
+	r := bufio.NewReaderSize(l.conn, jsonlines.Most)
+	for {
+		m, err := jsonlines.Read(r)
+		if err != nil {
+			p.n.Log.Debug("connection to server over", "server", l.s.id, "error", err)
+			p.close(l)
+			return
+		}
+		p.handle(l, m)
+	}
+}
+
+// causes of a close ahead of the answer; an unknown one is a reset.
+var causes = map[int]control.Outcome{jsonlines.CauseFull: control.Full, jsonlines.CauseError: control.Failed,
+	jsonlines.CauseMoot: control.Moot, jsonlines.CauseReset: control.Reset}
+
+// ends are causes of a close after it.
+var ends = map[int]control.Outcome{jsonlines.CauseEnd: control.Served, jsonlines.CauseCancelled: control.Cancelled}
+
+// handle takes one message of a server.
+func (p *pool) handle(l *link, m *jsonlines.Message) {
+	load := wire.Load(m.Figures("load"))
+	p.mu.Lock()
+	l.heard = p.n.now()
+	l.s.judge.Heard(l.heard)
+	mine := l.sid != "" && l.sid == m.ID
+	switch {
+	case m.Type == jsonlines.Ready && mine && !l.probe:
+		r := core.Result{Outcome: control.Served}
+		if m.Text == nil || *m.Text == "" {
+			r = core.Result{Outcome: control.Failed, Load: load} // it ran, and there is nothing to pass on
+		} else {
+			r.Setup = *m.Text
+			l.s.standing[m.ID] = true
+		}
+		l.deliver(r)
+		p.mu.Unlock()
+	case m.Type == jsonlines.Probed && mine && l.probe:
+		r := core.Result{Outcome: control.Failed, Load: load}
+		if m.Cause() == jsonlines.CausePassed {
+			r.Outcome = control.Served
+		}
+		l.deliver(r)
+		p.mu.Unlock()
+	case m.Type == jsonlines.Close && mine:
+		o, ok := causes[m.Cause()]
+		if !ok {
+			o = control.Reset
+		}
+		l.deliver(core.Result{Outcome: o, Load: load})
+		p.mu.Unlock()
+	case m.Type == jsonlines.Close:
+		p.mu.Unlock()
+		p.sessionEnded(l, m, load)
+	case m.Type == jsonlines.Event:
+		stands := l.s.standing[m.ID]
+		p.mu.Unlock()
+		if kind, v, ok := note(m); ok && stands {
+			if p.n.Log.Enabled(context.Background(), slog.LevelDebug) {
+				p.n.Log.Debug("note", "session", m.ID, "server", l.s.id, "note", m.Attr("note"), "value", v)
+			}
+			p.n.owner.Note(control.Note{ID: m.ID, Server: l.s.id, Kind: kind, Value: v})
+		}
+	default:
+		p.mu.Unlock()
+	}
+}
+
+// sessionEnded takes a server's release of a session that stands, or that this node does not know yet.
+func (p *pool) sessionEnded(l *link, m *jsonlines.Message, load *control.Load) {
+	outcome, ok := ends[m.Cause()]
+	if !ok {
+		outcome = control.Reset
+	}
+	p.mu.Lock()
+	stood := l.s.standing[m.ID]
+	delete(l.s.standing, m.ID)
+	if !stood {
+		p.keepEarlyEnd(l.s, m.ID, earlyEnd{outcome, load, p.n.now()})
+	}
+	p.mu.Unlock()
+	p.n.Log.Debug("released by server", "session", m.ID, "server", l.s.id, "cause", m.Cause(), "stood", stood)
+	if stood {
+		p.n.owner.ServerEnded(m.ID, l.s.id, outcome, load)
+	}
+}
+
+// keepEarlyEnd keeps the end of a session that may be named later.
+func (p *pool) keepEarlyEnd(s *server, id string, end earlyEnd) {
+	if len(s.earlyEnds) >= maxEarlyEnds {
+		p.n.Log.Warn("end of an unknown session not kept: too many", "session", id, "server", s.id)
+		return
+	}
+	s.earlyEnds[id] = end
+}
+
+// note reads a note on a session that stands.
+func note(m *jsonlines.Message) (control.NoteKind, float64, bool) {
+	kinds := map[string]control.NoteKind{"delivered": control.NoteShare, "rung": control.NoteRung,
+		"link": control.NoteLink, "uplink": control.NoteUplink}
+	k, ok := kinds[m.Attr("note")]
+	v, is := m.Number("value")
+	return k, v, ok && is
+}
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -66,6 +66,7 @@
 	l      net.Listener
 	heard  chan said
 	answer func(said)
+	greet  func(*peer) // called for each connection that comes, ahead of all else; set before the first
 
 	mu    sync.Mutex
 	conns []*peer
@@ -87,6 +88,9 @@
 			b.mu.Lock()
 			b.conns = append(b.conns, p)
 			b.mu.Unlock()
+			if b.greet != nil {
+				b.greet(p)
+			}
 			go b.read(p)
 		}
 	}()
--- a/internal/node/viewers.go
+++ b/internal/node/viewers.go
@@ -137,7 +137,7 @@
 	c.id = v.opened
 	v.all[c] = struct{}{}
 	v.mu.Unlock()
-	v.n.goes(c.read)
+	v.n.start(c.read)
 }
 
 // evictionCandidate is the connection whose end harms least; nil where all wait for answers.
--- /dev/null
+++ b/internal/node/watch.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"rainpulley/control"
+	"rainpulley/internal/liveness"
+)
+
+const (
+	watchInterval = 200 * time.Millisecond
+	checkTimeout  = 1200 * time.Millisecond // a handshake that got lost is sent again after a second (RFC 6298)
+)
+
+// keepUp holds one connection to each server with sessions and asks the judges, until ctx ends.
+func (p *pool) keepUp(ctx context.Context) {
+	tick := time.NewTicker(watchInterval)
+	defer tick.Stop()
+	for {
+		p.watch(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// watch looks at all servers once. Those that need a connection get one in the order in which they lost their last.
+func (p *pool) watch(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.n.now()
+	var due []*server
+	for _, s := range p.byID {
+		p.closeSurplus(s, now)
+		p.expire(s, now)
+		if len(s.standing) == 0 && !s.releases.HasWaiting() {
+			continue
+		}
+		switch p.verdict(s, now) {
+		case liveness.Check:
+			due = append(due, s)
+		case liveness.Lost:
+			p.lose(s, "no connection comes up")
+		}
+	}
+	slices.SortFunc(due, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(len(a.links), len(b.links)), cmp.Compare(a.unconnectedSince, b.unconnectedSince), cmp.Compare(a.id, b.id))
+	})
+	for _, s := range due {
+		if p.reserveForCheck(s, now) {
+			p.n.start(func() { p.check(ctx, s) })
+			continue
+		}
+		s.judge.Deferred()
+		p.deferred++
+	}
+	p.tidy()
+}
+
+// verdict asks the judge of a server with sessions. One whose connection ended has another opened anyway.
+func (p *pool) verdict(s *server, now time.Duration) liveness.Verdict {
+	verdict := s.judge.Next(now, p.n.Config.Set.LinkNoteEvery, len(s.links), s.state != control.Gone)
+	if verdict == liveness.Wait && s.renewAt > 0 && now >= s.renewAt && s.judge.Begin(now) {
+		return liveness.Check
+	}
+	return verdict
+}
+
+// expire forgets what a server need not be told, and what it told, any more.
+func (p *pool) expire(s *server, now time.Duration) {
+	for _, id := range s.releases.Expire(now) {
+		p.n.Log.Warn("server not told to end a session: no connection came up", "session", id, "server", s.id)
+	}
+	for id, e := range s.earlyEnds {
+		if now-e.at > earlyEndTimeout {
+			delete(s.earlyEnds, id)
+		}
+	}
+}
+
+// check tries to connect with the connection reserved for it, a second time beside the first where that does not come
+// up as fast as settings say: one lost handshake, or one that comes late, proves nothing (seen: two late ones in a row,
+// and sessions that played on were released). A connection that comes up is kept.
+func (p *pool) check(ctx context.Context, s *server) {
+	var second sync.WaitGroup
+	defer second.Wait()
+	up := make(chan struct{})
+	second.Go(func() {
+		soon := time.NewTimer(p.n.Config.Platform.ConnectTimeout)
+		defer soon.Stop()
+		select {
+		case <-up:
+		case <-ctx.Done():
+		case <-soon.C:
+			if p.reserveFree() {
+				p.tryOnce(ctx, s)
+			}
+		}
+	})
+	if p.tryOnce(ctx, s) {
+		close(up)
+	}
+}
+
+// tryOnce dials on a reserved connection. It tells whether the try has a result already that a second one would not
+// change.
+func (p *pool) tryOnce(ctx context.Context, s *server) bool {
+	l, err := p.dial(ctx, s, checkTimeout, forCheck)
+	if err == nil {
+		p.free(l)
+		return true
+	}
+	p.n.Log.Debug("no connection", "server", s.id, "error", err)
+	if errors.Is(err, errNoRoom) || errors.Is(err, errMoved) || ctx.Err() != nil {
+		p.mu.Lock()
+		s.judge.Unknown(p.n.now())
+		p.mu.Unlock()
+		return true
+	}
+	return dialled(err) == liveness.Refused
+}
