Near misses are counted and written once at a node's end; a message in hand keeps its connection

Change: counters for late answers, connections closed for room, missing places, deferred checks, notices resent, late or expired, releases expired, ends dropped: one line at info when the node ends. Each set-up is logged at debug with its time. A connection stays in the highest rank from the read of a message until its answer is in the outbox; the rank was lost between both. 1,024 set-ups may wait on one connection (128 before): as many as the owner's queue holds.

--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -233,6 +233,7 @@
 	reserved := p.reserveForSetUp()
 	p.mu.Unlock()
 	if !reserved {
+		p.n.near.placesMissing.Add(1)
 		return nil, errNoRoom
 	}
 	return p.dial(ctx, s, p.n.Config.Platform.ConnectTimeout, forSetUp)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,8 @@
 
 	mu       sync.Mutex
 	sessions map[string]*session // that wait or stand, by id
+
+	near nearMisses
 }
 
 const (
@@ -52,7 +54,7 @@
 	beforeKill    = 350 * time.Millisecond // the node begins to end so long before the earliest kill
 	flushFor      = 100 * time.Millisecond
 	mostCalls     = 100 * time.Millisecond // connections that keep coming while the node ends are taken so long
-	mostQueued    = 1024
+	maxQueued     = 1024
 )
 
 // New makes a front node.
@@ -68,7 +70,7 @@
 	n.module = d
 	n.pool = newPool(n, c.Sockets*3/8)
 	n.viewers = newViewers(n, c.Sockets/2)
-	n.owner = core.New(core.Options{Queue: mostQueued, Most: c.Set.MaxAttempts, Slack: c.Platform.AnswerSlack + socketSlack,
+	n.owner = core.New(core.Options{Queue: maxQueued, Most: c.Set.MaxAttempts, Slack: c.Platform.AnswerSlack + socketSlack,
 		Budget: core.Budget{Span: c.Set.BudgetSpan, Share: c.Set.BudgetShare}, Log: log, Decider: d, Carrier: n.pool, Now: n.now})
 	n.follow = coordinator.New(c.Coordinator, c.Known.Index, c.Platform.ConnectTimeout, log, n.take)
 	return n, nil
@@ -166,6 +168,7 @@
 	<-ownerOver
 	n.viewers.closeAll()
 	n.work.Wait()
+	n.Log.Info("ended", "sessions", n.owner.Stats.Open.Load(), "near", &n.near)
 	return nil
 }
 
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// noticeDue is how long after its server's release a session has to be released towards its viewer.
+	noticeDue = time.Second
 	// noticeLifetime is how long after its end a session has to be released towards its viewer.
 	noticeLifetime = 8 * time.Second
 	// noticeDoubt is how long a notice may be on its way: a connection that ends within it may have lost the notice.
@@ -24,8 +26,9 @@
 	origin *viewer // the connection that the session began on
 	id     string
 	uri    string
-	moved  bool // the viewer is asked to come again
-	cause  int  // of the release, unless moved
+	ended  time.Duration // when the session was over
+	moved  bool          // the viewer is asked to come again
+	cause  int           // of the release, unless moved
 }
 
 func (m *notice) appendTo(b []byte) []byte {
@@ -58,7 +61,8 @@
 		pending = delivery.New[*notice](noticeLifetime, noticeDoubt)
 		v.notices[address] = pending
 	}
-	pending.Add(m.id, m, v.n.now())
+	m.ended = v.n.now()
+	pending.Add(m.id, m, m.ended)
 	v.sendNotices(address)
 }
 
@@ -71,13 +75,18 @@
 	other := v.connectionFrom(address)
 	for _, message := range pending.Waiting() {
 		m := message.Value
-		switch {
-		case m.origin.out.put(m.appendTo):
-			pending.Sent(message.Key, m.origin.id, v.n.now())
-		case other != nil && other.out.put(m.appendTo):
-			pending.Sent(message.Key, other.id, v.n.now())
-		default:
-			v.n.Log.Debug("no connection for a notice, it waits", "session", m.id, "from", address)
+		on := m.origin
+		if !on.out.put(m.appendTo) {
+			on = other
+			if on == nil || !on.out.put(m.appendTo) {
+				v.n.Log.Debug("no connection for a notice, it waits", "session", m.id, "from", address)
+				continue
+			}
+		}
+		now := v.n.now()
+		pending.Sent(message.Key, on.id, now)
+		if now-m.ended > noticeDue {
+			v.n.near.noticesLate.Add(1)
 		}
 	}
 }
@@ -114,6 +123,7 @@
 		return
 	}
 	if again := pending.ConnectionEnded(ended.id, v.n.now()); again > 0 {
+		v.n.near.noticesResent.Add(int64(again))
 		v.n.Log.Debug("notices lost with their connection", "from", ended.from, "notices", again)
 		v.sendNotices(ended.from)
 	}
@@ -132,6 +142,7 @@
 	defer v.mu.Unlock()
 	for address, pending := range v.notices {
 		for _, id := range pending.Expire(v.n.now()) {
+			v.n.near.noticesExpired.Add(1)
 			v.n.Log.Warn("viewer not told of its session's end: it opened no connection", "session", id, "from", address)
 		}
 		v.dropEmptyNotices(address)
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -100,6 +100,15 @@
 	c.out.mu.Lock()
 	c.out.writing = false
 	c.out.mu.Unlock()
+	c.mu.Lock()
+	c.busy = true // its reader has a message in hand
+	c.mu.Unlock()
+	if rank, _ := c.evictionRank(c.at.Add(testFor)); rank != waitingConnection {
+		t.Errorf("rank %d of a connection with a message that is being handled", rank)
+	}
+	c.mu.Lock()
+	c.busy = false
+	c.mu.Unlock()
 }
 
 // TestReleaseToServerCrossesClose: a viewer ends its session as the connection to the server ends. The release that was
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -20,14 +20,13 @@
 	n        *Node
 	maxLinks int // connections to all servers
 
-	mu       sync.Mutex
-	byID     map[string]*server
-	links    int                   // open, on their way up, and retired ones until their descriptor is free
-	opened   delivery.ConnectionID // the last connection's
-	retired  map[*link]struct{}    // out of use, to be closed when what was written is on its way
-	probes   uint64                // sent so far
-	deferred uint64                // checks that waited for a descriptor, so far
-	over     bool                  // no connection is opened any more
+	mu      sync.Mutex
+	byID    map[string]*server
+	links   int                   // open, on their way up, and retired ones until their descriptor is free
+	opened  delivery.ConnectionID // the last connection's
+	retired map[*link]struct{}    // out of use, to be closed when what was written is on its way
+	probes  uint64                // sent so far
+	over    bool                  // no connection is opened any more
 
 	readers sync.WaitGroup
 }
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -103,6 +103,7 @@
 // keepEarlyEnd keeps the end of a session that may be named later.
 func (p *pool) keepEarlyEnd(s *server, id string, end earlyEnd) {
 	if len(s.earlyEnds) >= maxEarlyEnds {
+		p.n.near.endsDropped.Add(1)
 		p.n.Log.Warn("end of an unknown session not kept: too many", "session", id, "server", s.id)
 		return
 	}
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -10,6 +10,9 @@
 	"rainpulley/internal/rtsp"
 )
 
+// lateShare is the last part of a request's time in which an answer counts as late: a tenth.
+const lateShare = 10
+
 // session is one set-up of a viewer, and what it becomes. It hears of it on the owner's goroutine.
 type session struct {
 	n              *Node
@@ -20,6 +23,8 @@
 	dedupe         string // the viewer's key of repeats, if it gave one
 	text           string // the viewer's description
 	adopted        bool
+	timer          time.Duration // how long the viewer waits
+	due            time.Duration
 
 	mu   sync.Mutex
 	conn *viewer // that the set-up came on
@@ -42,7 +47,10 @@
 	s.mu.Lock()
 	c, left := s.conn, s.left
 	s.mu.Unlock()
-	c.answered(s)
+	defer c.answered(s) // until the answer is in the outbox the connection waits for it, and is not closed for another
+	if s.n.now() > s.due-s.timer/lateShare {
+		s.n.near.lateAnswers.Add(1)
+	}
 	if left {
 		s.n.Log.Debug("answer not told: the viewer has left", "session", s.id)
 		if a.Kind == core.Plays {
--- a/internal/node/setup.go
+++ b/internal/node/setup.go
@@ -113,7 +113,9 @@
 	if !ok || timer <= 0 {
 		return "timer"
 	}
-	r.Due = n.now() + timer
+	s.timer = timer
+	s.due = n.now() + timer
+	r.Due = s.due
 	return ""
 }
 
--- a/internal/node/viewers.go
+++ b/internal/node/viewers.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"slices"
@@ -40,6 +42,7 @@
 
 	mu     sync.Mutex
 	spoke  bool                // a whole message came
+	busy   bool                // a message is being handled
 	used   time.Time           // of the last message
 	open   map[string]*session // set-ups that wait for their answer
 	stands int                 // sessions that began here and stand
@@ -51,7 +54,7 @@
 	messageFor = 2500 * time.Millisecond // any message that has begun
 	drainFor   = 2 * time.Second         // what a refused peer still sends is read so long (RFC 9112, section 9.6)
 	drainMost  = 96 << 20                // and at most so many bytes of it
-	mostOpen   = 128                     // set-ups of one connection that wait for their answer
+	maxOpen    = maxQueued               // set-ups of one connection that wait for their answer
 
 	acceptPause = 5 * time.Millisecond  // after a connection that could not be taken
 	lastCall    = 20 * time.Millisecond // connections that are up already when the node stops listening are taken
@@ -79,8 +82,8 @@
 			continue
 		case err != nil: // the peer has gone already, or no descriptor is left: then one is freed, or waited for
 			v.n.Log.Debug("accept", "error", err)
-			if least := v.evictionCandidate(time.Now()); noDescriptor(err) && least != nil {
-				least.close()
+			if noDescriptor(err) {
+				v.evict(time.Now())
 			}
 			time.Sleep(acceptPause)
 			continue
@@ -125,12 +128,10 @@
 	full := len(v.all) >= v.most
 	v.mu.Unlock()
 	if full {
-		least := v.evictionCandidate(now)
-		if least == nil {
+		if !v.evict(now) {
 			_ = conn.Close()
 			return
 		}
-		least.close()
 	}
 	v.mu.Lock()
 	v.opened++
@@ -140,6 +141,17 @@
 	v.n.start(c.read)
 }
 
+// evict closes the connection whose end harms least; false where all wait for answers.
+func (v *viewers) evict(now time.Time) bool {
+	least := v.evictionCandidate(now)
+	if least == nil {
+		return false
+	}
+	v.n.near.viewersClosed.Add(1)
+	least.close()
+	return true
+}
+
 // evictionCandidate is the connection whose end harms least; nil where all wait for answers.
 func (v *viewers) evictionCandidate(now time.Time) (least *viewer) {
 	v.mu.Lock()
@@ -175,7 +187,7 @@
 		return youngConnection, c.used
 	case !c.spoke:
 		return silentConnection, c.used
-	case len(c.open) > 0 || c.out.busy():
+	case c.busy || len(c.open) > 0 || c.out.busy():
 		return waitingConnection, c.used
 	case c.stands > 0:
 		return sessionConnection, c.used
@@ -252,12 +264,15 @@
 		_ = c.conn.SetReadDeadline(time.Time{})
 		c.mu.Lock()
 		first := !c.spoke
-		c.spoke, c.used = true, time.Now()
+		c.spoke, c.busy, c.used = true, true, time.Now()
 		c.mu.Unlock()
 		if first {
 			c.n.viewers.firstMessage(c)
 		}
 		c.handle(m)
+		c.mu.Lock()
+		c.busy = false
+		c.mu.Unlock()
 	}
 }
 
@@ -299,6 +314,9 @@
 		return
 	}
 	s.conn = c
+	if c.n.Log.Enabled(context.Background(), slog.LevelDebug) {
+		c.n.Log.Debug("request", "session", s.id, "timer", s.timer, "from", c.conn.RemoteAddr().String(), "adopted", s.adopted)
+	}
 	if s.adopted {
 		c.n.adopt(r, s)
 		return
@@ -310,15 +328,15 @@
 		return
 	}
 	c.mu.Lock()
-	full := len(c.open) >= mostOpen || c.over
+	full := len(c.open) >= maxOpen || c.over
 	if !full {
 		c.open[s.id] = s
 	}
 	c.mu.Unlock()
 	if full || c.n.viewers.leaving.Load() || !c.n.owner.Request(r, s) {
 		c.n.forget(s)
-		c.answered(s)
 		c.reply(m, 503)
+		c.answered(s)
 	}
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		s.judge.Deferred()
-		p.deferred++
+		p.n.near.checksDeferred.Add(1)
 	}
 	p.tidy()
 }
@@ -76,6 +76,7 @@
 // expire forgets what a server need not be told, and what it told, any more.
 func (p *pool) expire(s *server, now time.Duration) {
 	for _, id := range s.releases.Expire(now) {
+		p.n.near.releasesExpired.Add(1)
 		p.n.Log.Warn("server not told to end a session: no connection came up", "session", id, "server", s.id)
 	}
 	for id, e := range s.earlyEnds {
