Lists of 1,024 servers: histories over 1 MiB are taken, an unusable entry is lost alone

Need: no cap below 1,024 on lists of servers or processes; one bad entry must not freeze the list. At fault: http1's default of 1 MiB cut off a history of 1,024 servers with eight changes each, for ever (test seen to fail); config.servers made a whole update unreadable for one entry, which was then asked for again without end while drains beside it waited; pool.taken compared each gone server with all others. Change: answers of the coordinator up to 8 MiB; entries that cannot be used are left out and logged, an update with no other entry leaves the list as it was; one set of addresses.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -52,6 +52,10 @@
 	patience   = 400 * time.Millisecond // beyond it a poll is given up
 	retryFirst = 50 * time.Millisecond
 	retryMost  = time.Second
+
+	// maxAnswer bounds an answer in bytes. A list of 1,024 servers has about 200 kB; a history from the first event on, as
+	// it is asked for after a gap, has every change of each of them.
+	maxAnswer = 8 << 20
 )
 
 // Merge folds updates into one: for each server its last entry, in order of first mention; a whole list drops what came
@@ -95,6 +99,7 @@
 // New returns a follower that holds the events up to a number. Connect bounds how long a connection may take to come up.
 func New(addr string, held int64, connect time.Duration, log *slog.Logger, take func([]Update) error) *Follower {
 	l := http1.DefaultLimits()
+	l.Body = maxAnswer
 	l.HeadFor, l.BodyFor, l.IdleFor = wait+patience, wait+patience, wait+patience
 	return &Follower{Take: take, Log: log, addr: addr, held: held, client: http1.Client{Limits: l, Connect: connect}}
 }
--- a/internal/coordinator/crossing_test.go
+++ b/internal/coordinator/crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net"
@@ -209,3 +210,29 @@
 	t.Cleanup(func() { _ = l.Close() })
 	return l.Addr().String(), polls
 }
+
+// TestLargeHistory: a history of 1,024 servers with several changes each, as it is told after a gap, is taken.
+func TestLargeHistory(t *testing.T) {
+	const servers, changes = 1024, 8
+	u := Updates{Index: changes}
+	for range changes {
+		e := &Endpoints{Full: len(u.Updates) == 0}
+		for i := range servers {
+			e.Servers = append(e.Servers, Entry{ID: fmt.Sprintf("s-%08x", i), Addr: fmt.Sprintf("10.1.%d.%d:3868", i/256, i%256), Zone: "middle-hall",
+				Kind: "four-core", State: "up", Weight: 4, Started: 1_800_000_000_000})
+		}
+		u.Updates = append(u.Updates, Update{Endpoints: e})
+	}
+	history, err := json.Marshal(u)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(history) < 1<<20 {
+		t.Fatalf("a history of %d bytes shows nothing", len(history))
+	}
+	at, _ := scripted(t, answer(string(history)))
+	_, took := follow(t, at, 0)
+	if got := next(t, "the history", took); strings.Count(got, ":up") != servers {
+		t.Errorf("%d servers", strings.Count(got, ":up"))
+	}
+}
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -43,7 +43,7 @@
 		}
 	}()
 	c, err := parseConfig([]byte(`{"listen":"127.0.0.1:1","limits":{"cores":1,"memory_mb":64,"sockets":256},"coordinator":"127.0.0.1:2","known":{"index":1,"updates":[{"endpoints":{"full":true,"servers":[
-	 {"id":"s-1","addr":"` + serverEnd.Addr().String() + `","zone":"east","kind":"std","state":"up","weight":100}]}}]},"settings":` + settings + `}`))
+	 {"id":"s-1","addr":"` + serverEnd.Addr().String() + `","zone":"east","kind":"std","state":"up","weight":100}]}}]},"settings":` + defaultSettings + `}`))
 	if err != nil {
 		b.Fatal(err)
 	}
--- /dev/null
+++ b/internal/node/capacity_test.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"rainpulley/control"
+	"rainpulley/internal/coordinator"
+)
+
+const (
+	listedServers   = 1024
+	listedProcesses = 1024
+
+	maxIdleGoroutines = 64      // of a node that serves nobody, however long its list
+	maxListHeap       = 8 << 20 // bytes that a list of 1,024 servers may take
+)
+
+// TestThousandServersAndProcesses: a list of 1,024 servers and a deployment of 1,024 processes are taken at the start, as
+// a whole list, as changes and with a reload. Goroutines do not grow with the list, memory grows by little.
+func TestThousandServersAndProcesses(t *testing.T) {
+	b := newBox(t, "s-0", ready)
+	list := []coordinator.Entry{b.entry("up")} // alone in its cell; nobody listens at the others
+	for i := range listedServers - 1 {
+		list = append(list, coordinator.Entry{ID: fmt.Sprintf("s-%d", i+1), Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Zone: "east", Kind: "std",
+			State: "up", Weight: 10, Cell: 1 + i%3})
+	}
+	settings := strings.NewReplacer(`"groupSize":1,`, fmt.Sprintf(`"groupSize":%d,"position":%d,`, listedProcesses, listedProcesses-1),
+		`"linksKb":100000`, `"linksKb":100000000`, `"rackLinkKb":100000`, `"rackLinkKb":100000000`, `"weightKb":1000`, `"weightKb":1000000`, `"kindStreams":[50]`, `"kindStreams":[100000]`).Replace(defaultSettings)
+	if !strings.Contains(settings, fmt.Sprint(`"groupSize":`, listedProcesses)) || !strings.Contains(settings, `"linksKb":100000000`) {
+		t.Fatal("the settings are not as large as meant")
+	}
+	goroutines, heap, begun := runtime.NumGoroutine(), heapInUse(), time.Now()
+	n := startSet(t, 256, settings, func(*Node) {}, list)
+	v := n.dial().say(ping)
+	v.want("", 200)
+	ready := time.Since(begun)
+	t.Logf("ready after %v, %d goroutines more, %d kB of heap more", ready, runtime.NumGoroutine()-goroutines, (heapInUse()-heap)>>10)
+	if more := runtime.NumGoroutine() - goroutines; more > maxIdleGoroutines {
+		t.Errorf("%d goroutines more", more)
+	}
+	if more := heapInUse() - heap; more > maxListHeap {
+		t.Errorf("%d bytes of heap more", more)
+	}
+	n.servesHome(v, b, idA)
+
+	changed := make([]coordinator.Entry, 0, listedServers-1)
+	for _, e := range list[1:] {
+		e.State = "draining"
+		changed = append(changed, e)
+	}
+	n.feed.push(changed...) // one update of 1,023 servers
+	eventually(t, "the changes", func() bool { return n.drained() == listedServers-1 })
+	for _, e := range changed[:100] { // and a hundred updates
+		e.State = "removed"
+		n.feed.push(e)
+	}
+	eventually(t, "the single changes", func() bool { return n.drained() == listedServers-101 })
+	n.servesHome(v, b, idB)
+
+	whole := coordinator.Update{Endpoints: &coordinator.Endpoints{Full: true, Servers: list}}
+	n.write(n.Path, n.feed, 256, coordinator.Updates{Index: n.feed.last() + 1, Updates: []coordinator.Update{whole}})
+	_ = syscall.Kill(syscall.Getpid(), syscall.SIGHUP)
+	eventually(t, "the reload", func() bool { return n.drained() == 0 })
+	n.servesHome(v, b, idC)
+	n.agree(3)
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// drained is how many listed servers take nothing new.
+func (r *rig) drained() (count int) {
+	r.pool.mu.Lock()
+	defer r.pool.mu.Unlock()
+	for _, s := range r.pool.byID {
+		if s.state == control.Draining {
+			count++
+		}
+	}
+	return count
+}
+
+// servesHome plays a session of a title that only one server holds.
+func (r *rig) servesHome(v *dialogue, b *box, id string) {
+	r.t.Helper()
+	v.say(strings.Replace(setUp(id, "free", ""), "copies:4", "copies:1", 1)).want(id, 200)
+	if m := b.next(r.t, "open"); m.ID != id {
+		r.t.Errorf("%+v", m.Message)
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -119,32 +120,35 @@
 	return fmt.Errorf("line %d, byte %d: %w", line, at, err)
 }
 
-// servers translates an update's entries. One that names an unknown zone, kind or state, or no id or address,
-// makes the whole update unreadable: half a list is worse than the one before.
-func (c *Config) servers(entries []coordinator.Entry) ([]control.Server, error) {
-	out := make([]control.Server, len(entries))
-	states := map[string]control.State{"up": control.Ready, "draining": control.Draining, "removed": control.Gone}
+// errNoEntryUsable tells a list of which nothing can be used: the one before it stays.
+var errNoEntryUsable = errors.New("no entry of the list can be used")
+
+// servers translates an update's entries. One that names an unknown zone, kind or state, or no id or address, is left
+// out alone: what it says of its server is not known, and the others' drains must not wait for it.
+func (c *Config) servers(entries []coordinator.Entry) (usable []control.Server, unusable []error) {
+	usable = make([]control.Server, 0, len(entries))
 	for i, e := range entries {
-		s := control.Server{ID: e.ID, Cell: e.Cell, Weight: e.Weight, Started: bound.Moment(e.Started), Zone: -1, Kind: -1}
-		state, known := states[e.State]
-		if e.ID == "" || !known {
-			return nil, fmt.Errorf("servers[%d]: id %q, state %q", i, e.ID, e.State)
-		}
-		s.State = state
-		for n, name := range c.Platform.Zones {
-			if name == e.Zone {
-				s.Zone = n
-			}
-		}
-		for n, name := range c.Platform.Kinds {
-			if name == e.Kind {
-				s.Kind = n
-			}
-		}
-		if _, _, err := net.SplitHostPort(e.Addr); state != control.Gone && (err != nil || s.Zone < 0 || s.Kind < 0) {
-			return nil, fmt.Errorf("servers[%d]: %s: address %q, zone %q, kind %q", i, e.ID, e.Addr, e.Zone, e.Kind)
+		s, err := c.server(e)
+		if err != nil {
+			unusable = append(unusable, fmt.Errorf("servers[%d]: %w", i, err))
+			continue
 		}
-		out[i] = s
+		usable = append(usable, s)
+	}
+	return usable, unusable
+}
+
+// server translates one entry.
+func (c *Config) server(e coordinator.Entry) (control.Server, error) {
+	states := map[string]control.State{"up": control.Ready, "draining": control.Draining, "removed": control.Gone}
+	state, known := states[e.State]
+	if e.ID == "" || !known {
+		return control.Server{}, fmt.Errorf("id %q, state %q", e.ID, e.State)
+	}
+	s := control.Server{ID: e.ID, State: state, Cell: e.Cell, Weight: e.Weight, Started: bound.Moment(e.Started),
+		Zone: slices.Index(c.Platform.Zones, e.Zone), Kind: slices.Index(c.Platform.Kinds, e.Kind)}
+	if _, _, err := net.SplitHostPort(e.Addr); state != control.Gone && (err != nil || s.Zone < 0 || s.Kind < 0) {
+		return control.Server{}, fmt.Errorf("%s: address %q, zone %q, kind %q", e.ID, e.Addr, e.Zone, e.Kind)
 	}
-	return out, nil
+	return s, nil
 }
--- a/internal/node/descriptor_test.go
+++ b/internal/node/descriptor_test.go
@@ -58,7 +58,7 @@
 	at := listenAddress(t)
 	known := []coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true, Servers: []coordinator.Entry{a.entry("up")}}}}
 	raw, err := json.Marshal(map[string]any{"name": "n0", "listen": at, "seed": "0a", "limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": sockets},
-		"coordinator": spare.Addr().String(), "known": coordinator.Updates{Index: 1, Updates: known}, "settings": json.RawMessage(settings)})
+		"coordinator": spare.Addr().String(), "known": coordinator.Updates{Index: 1, Updates: known}, "settings": json.RawMessage(defaultSettings)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,11 +102,15 @@
 
 func (n *Node) update(updates []coordinator.Update, cached bool) error {
 	entries, whole := coordinator.Merge(updates)
-	list, err := n.Config.servers(entries)
-	if err != nil {
-		return err
+	list, unusable := n.Config.servers(entries)
+	for _, err := range unusable {
+		n.Log.Warn("entry of the server list not used", "error", err)
 	}
-	if len(list) == 0 && !whole {
+	switch {
+	case len(list) > 0:
+	case len(unusable) > 0:
+		return errNoEntryUsable
+	case !whole:
 		return nil
 	}
 	addr := make(map[string]string, len(entries))
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -319,6 +319,26 @@
 	v.say(setUp(idC, "free", "")).want(idC, 200)
 }
 
+// TestUnusableEntry: an entry that cannot be used is left out alone; a drain beside it is followed, and so is what comes
+// after.
+func TestUnusableEntry(t *testing.T) {
+	a, b := newBox(t, "s-1", ready), newBox(t, "s-2", ready)
+	n := startNode(t, a)
+	nowhere := b.entry("up")
+	nowhere.ID, nowhere.Addr = "s-5", "nowhere"
+	n.feed.push(coordinator.Entry{ID: "s-4", State: "strange"}, a.entry("draining"), coordinator.Entry{State: "up"}, nowhere, b.entry("up"))
+	eventually(t, "told", func() bool { n.pool.mu.Lock(); defer n.pool.mu.Unlock(); return n.pool.byID["s-2"] != nil })
+	v := n.dial().say(setUp(idA, "paid", "")).want(idA, 200)
+	if v.Status != 200 || b.next(t, "open").ID != idA || len(a.heard) > 0 {
+		t.Error("the drain beside an entry that cannot be used was not followed")
+	}
+	n.pool.mu.Lock()
+	defer n.pool.mu.Unlock()
+	if len(n.pool.byID) != 2 {
+		t.Errorf("%d servers", len(n.pool.byID))
+	}
+}
+
 // TestLookedAtAgain: a set-up whose server was drained, or whose viewer withdrew, while it waited is not sent.
 func TestLookedAtAgain(t *testing.T) {
 	b := newBox(t, "s-1", nil)
@@ -440,13 +460,13 @@
 
 // TestConfig: what is missing or malformed is named.
 func TestConfig(t *testing.T) {
-	good := `{"listen":"127.0.0.1:1","seed":"a","limits":{"cores":1,"memory_mb":64,"sockets":256},"coordinator":"127.0.0.1:2","known":{"index":1,"updates":[{}]},"settings":` + settings + `}`
+	good := `{"listen":"127.0.0.1:1","seed":"a","limits":{"cores":1,"memory_mb":64,"sockets":256},"coordinator":"127.0.0.1:2","known":{"index":1,"updates":[{}]},"settings":` + defaultSettings + `}`
 	if _, err := parseConfig([]byte(good)); err != nil {
 		t.Fatal(err)
 	}
 	for _, c := range [][3]string{{`"127.0.0.1:1"`, `"nowhere"`, "listen"}, {`"127.0.0.1:2"`, `""`, "coordinator"}, {`"seed":"a"`, `"seed":"xyz"`, "seed"},
 		{`"sockets":256`, `"sockets":3`, "limits"}, {`"cores":1`, `"cores":-1`, "limits"}, {`"memory_mb":64`, `"memory_mb":"x"`, "line 1"}, {`[{}]`, `[]`, "known"},
-		{`"ladderKb":[100,200,400]`, `"ladderKb":[]`, "ladderKb"}, {`"seed":"a",`, `"seed" "a",`, "line 1"}, {settings, `null`, "settings"}} {
+		{`"ladderKb":[100,200,400]`, `"ladderKb":[]`, "ladderKb"}, {`"seed":"a",`, `"seed" "a",`, "line 1"}, {defaultSettings, `null`, "settings"}} {
 		if _, err := parseConfig([]byte(strings.Replace(good, c[0], c[1], 1))); err == nil || !strings.Contains(err.Error(), c[2]) {
 			t.Errorf("%s: %v", c[1], err)
 		}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -100,11 +100,7 @@
 		}
 		s.started = max(s.started, e.Started)
 	}
-	for _, s := range p.byID {
-		if s.state == control.Gone && p.taken(s) {
-			p.lose(s, "its address is another's")
-		}
-	}
+	p.loseReplaced()
 	p.tidy()
 }
 
@@ -115,14 +111,19 @@
 	return s
 }
 
-// taken tells whether another listed server has the address of one that has gone.
-func (p *pool) taken(s *server) bool {
-	for _, o := range p.byID {
-		if o != s && o.state != control.Gone && o.addr == s.addr {
-			return true
+// loseReplaced ends the sessions of servers that have gone and whose address another listed server has got.
+func (p *pool) loseReplaced() {
+	listed := make(map[string]bool, len(p.byID))
+	for _, s := range p.byID {
+		if s.state != control.Gone {
+			listed[s.addr] = true
+		}
+	}
+	for _, s := range p.byID {
+		if s.state == control.Gone && listed[s.addr] {
+			p.lose(s, "its address is another's")
 		}
 	}
-	return false
 }
 
 // tidy forgets servers that have gone and run nothing any more.
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -34,7 +34,7 @@
 	quiet   = 80 * time.Millisecond
 )
 
-const settings = `{"familyInfo":{"cells":4,"classFloor":[0,1],"classTop":[2,2],"joinAdds":1,"kindStreams":[50],"ladderKb":[100,200,400],
+const defaultSettings = `{"familyInfo":{"cells":4,"classFloor":[0,1],"classTop":[2,2],"joinAdds":1,"kindStreams":[50],"ladderKb":[100,200,400],
  "linksKb":100000,"rackLinkKb":100000,"rateFactor":[1,1],"reportsEvery":400000,"rungWorth":[0.3,0.6,1],"see":100000,"shelves":1,"switchS":0.1,"weightKb":1000},
  "groupSize":1,"kinds":["std"],"zones":["east"],"weights":"nominal",
  "permissions":{"cancel":true,"connIdle":30000000,"connectTimeout":250000,"maxAttempts":5},
@@ -209,11 +209,12 @@
 // rig is a node with scripted servers and a scripted coordinator.
 type rig struct {
 	*Node
-	t    *testing.T
-	feed *feed
-	addr string
-	stop context.CancelFunc
-	over chan error
+	t        *testing.T
+	feed     *feed
+	addr     string
+	settings string // of its configuration
+	stop     context.CancelFunc
+	over     chan error
 }
 
 func startNode(t *testing.T, boxes ...*box) *rig { return startWith(t, 256, boxes...) }
@@ -236,8 +237,13 @@
 }
 
 func startListed(t *testing.T, sockets int, change func(*Node), list []coordinator.Entry) *rig {
+	return startSet(t, sockets, defaultSettings, change, list)
+}
+
+// startSet starts a node with settings of its own.
+func startSet(t *testing.T, sockets int, settings string, change func(*Node), list []coordinator.Entry) *rig {
 	known := coordinator.Updates{Index: 1, Updates: []coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true, Servers: list}}}}
-	r := &rig{t: t, feed: newFeed(t, known.Updates), over: make(chan error, 1)}
+	r := &rig{t: t, settings: settings, feed: newFeed(t, known.Updates), over: make(chan error, 1)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -273,7 +279,7 @@
 
 func (r *rig) write(path string, f *feed, sockets int, known coordinator.Updates) {
 	raw, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "0a", "limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": sockets},
-		"coordinator": f.Listener.Addr().String(), "known": known, "settings": json.RawMessage(settings)})
+		"coordinator": f.Listener.Addr().String(), "known": known, "settings": json.RawMessage(r.settings)})
 	if err != nil {
 		r.t.Fatal(err)
 	}
