A node whose deadlines are all short still listens when the last requests come

Need: with a longest deadline under 0.25 s the node left before 0.6 s after SIGTERM, when the platform may still send requests: those would have found nobody. Change: it stays 0.65 s at least, before the earliest kill in every case.

--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"rainpulley/control"
 	"rainpulley/internal/coordinator"
 )
 
@@ -344,3 +345,17 @@
 	letGo()
 	n.ends()
 }
+
+// TestStaysUntilLastArrival: the node neither ends while requests still come, 0.6 s after SIGTERM, nor as late as it may
+// be killed, 0.7 s and the longest deadline after it.
+func TestStaysUntilLastArrival(t *testing.T) {
+	const lastArrival = 600 * time.Millisecond
+	for _, deadline := range []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, 350 * time.Millisecond, time.Second, 3 * time.Second, 10 * time.Second} {
+		n := &Node{Config: &Config{}, Arriving: stillArriving}
+		n.Config.Set.Classes = []control.Class{{Deadline: deadline / 2}, {Deadline: deadline}}
+		kill := stillArriving + min(deadline, 3*time.Second)
+		if stays := n.staysFor(); stays <= lastArrival || stays >= kill {
+			t.Errorf("longest deadline %v: stays %v, the last request comes after %v, the kill after %v", deadline, stays, lastArrival, kill)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,9 +52,14 @@
 	socketSlack   = 50 * time.Millisecond  // every time limit is so much longer on sockets
 	stillArriving = 700 * time.Millisecond // after SIGTERM requests still come so long
 	beforeKill    = 350 * time.Millisecond // the node begins to end so long before the earliest kill
-	flushFor      = 100 * time.Millisecond
-	mostCalls     = 100 * time.Millisecond // connections that keep coming while the node ends are taken so long
-	maxQueued     = 1024
+
+	// afterLastArrival is the part of Arriving in which no request comes any more: the platform sends the last ones 0.6 s
+	// after SIGTERM at most.
+	afterLastArrival = 50 * time.Millisecond
+
+	flushFor  = 100 * time.Millisecond
+	mostCalls = 100 * time.Millisecond // connections that keep coming while the node ends are taken so long
+	maxQueued = 1024
 )
 
 // New makes a front node.
@@ -192,8 +197,12 @@
 	time.Sleep(n.staysFor())
 }
 
-// staysFor is how long after SIGTERM the node stays: all that may arrive has its deadline by then.
-func (n *Node) staysFor() time.Duration { return n.Arriving + n.longest() - beforeKill }
+// staysFor is how long after SIGTERM the node stays: most of what arrives has its deadline by then, and the earliest
+// kill is not near. Where all deadlines are short it stays until the last requests have come: one that found nobody
+// listening would be lost.
+func (n *Node) staysFor() time.Duration {
+	return max(n.Arriving+n.longest()-beforeKill, n.Arriving-afterLastArrival)
+}
 
 // longest is the longest deadline of a class.
 func (n *Node) longest() (d time.Duration) {
