--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -47,7 +47,6 @@
 type running struct {
 	stop context.CancelFunc
 	over chan struct{}
-	peer net.PacketConn
 }
 
 func (r *running) end() { r.stop(); <-r.over }
--- a/internal/peaks/lp.go
+++ b/internal/peaks/lp.go
@@ -101,8 +101,7 @@
 	for i := range group {
 		group[i] = i
 	}
-	var root func(int) int
-	root = func(i int) int {
+	root := func(i int) int {
 		for group[i] != i {
 			group[i] = group[group[i]]
 			i = group[i]
