--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/detector_test.go
@@ -5,17 +5,17 @@
 	"time"
 )
 
-// TestJudge plays courses of events a tenth of a second at a time: who is found lost, and when.
-func TestJudge(t *testing.T) {
+// TestDetector plays courses of events a tenth of a second at a time: who is found lost, and when.
+func TestDetector(t *testing.T) {
 	const every = 2 * time.Second
 	for _, c := range []struct {
 		name       string
 		heard      func(at time.Duration) bool
-		dial       func(at time.Duration) Dialled
+		dial       func(at time.Duration) DialResult
 		open       func(at time.Duration) int
 		gone       bool
 		unanswered bool
-		other      Dialled // what set-ups' own connections come to, all the time
+		other      DialResult // what set-ups' own connections come to, all the time
 		lost       bool
 		least      time.Duration
 		most       time.Duration
@@ -34,32 +34,32 @@
 		{name: "slow, set-ups time out", unanswered: true, dial: is(Up), open: one, checks: 10},
 		{name: "removed, and runs still", gone: true, dial: is(Up), open: one, checks: 3},
 		{name: "connections reset, machine alive", dial: is(Up), open: none, checks: 3},
-		{name: "one handshake lost", dial: func(at time.Duration) Dialled {
+		{name: "one handshake lost", dial: func(at time.Duration) DialResult {
 			if at < 2600*time.Millisecond {
 				return Silent
 			}
 			return Up
 		}, open: one, checks: 2},
 	} {
-		j, checks, lostAt := New(0), 0, time.Duration(-1)
+		detector, checks, lostAt := New(0), 0, time.Duration(-1)
 		for at := time.Duration(0); at < 12*time.Second && lostAt < 0; at += 100 * time.Millisecond {
 			if c.heard != nil && c.heard(at) {
-				j.Heard(at)
+				detector.Heartbeat(at)
 			}
 			if c.unanswered {
-				j.Unanswered()
+				detector.RequestTimedOut()
 			}
 			if c.other != Up {
-				j.Dialled(at, c.other, c.open(at))
+				detector.Dialed(at, c.other, c.open(at))
 			}
-			switch j.Next(at, every, c.open(at), !c.gone) {
+			switch detector.Next(at, every, c.open(at), !c.gone) {
 			case Check:
 				checks++
 				if c.dial == nil {
 					t.Errorf("%s: checked at %v", c.name, at)
 					break
 				}
-				j.Checked(at, c.dial(at), c.open(at))
+				detector.Checked(at, c.dial(at), c.open(at))
 			case Lost:
 				lostAt = at
 			}
@@ -72,19 +72,19 @@
 
 func one(time.Duration) int  { return 1 }
 func none(time.Duration) int { return 0 }
-func is(d Dialled) func(time.Duration) Dialled {
-	return func(time.Duration) Dialled { return d }
+func is(d DialResult) func(time.Duration) DialResult {
+	return func(time.Duration) DialResult { return d }
 }
 
 // TestHeardAgain: a server that was lost and speaks again is judged anew.
 func TestHeardAgain(t *testing.T) {
-	j := New(0)
-	j.Dialled(time.Second, Refused, 0)
-	if j.Next(time.Second, time.Second, 0, true) != Lost {
+	detector := New(0)
+	detector.Dialed(time.Second, Refused, 0)
+	if detector.Next(time.Second, time.Second, 0, true) != Lost {
 		t.Fatal("not lost")
 	}
-	j.Heard(2 * time.Second)
-	if v := j.Next(2*time.Second, time.Second, 1, true); v != Wait {
+	detector.Heartbeat(2 * time.Second)
+	if v := detector.Next(2*time.Second, time.Second, 1, true); v != Wait {
 		t.Errorf("verdict %v after it was heard", v)
 	}
 }
@@ -92,13 +92,13 @@
 // TestNoNotes: where settings say that no notes come, a server that says nothing is looked at now and then only (seen: a
 // connection a second to each server with sessions), and one that has vanished is still found out in time.
 func TestNoNotes(t *testing.T) {
-	for name, dial := range map[string]Dialled{"alive": Up, "vanished": Silent} {
-		j, checks, lostAt := New(0), 0, time.Duration(-1)
+	for name, dial := range map[string]DialResult{"alive": Up, "vanished": Silent} {
+		detector, checks, lostAt := New(0), 0, time.Duration(-1)
 		for at := time.Duration(0); at < 12*time.Second && lostAt < 0; at += 100 * time.Millisecond {
-			switch j.Next(at, 0, 1, true) {
+			switch detector.Next(at, 0, 1, true) {
 			case Check:
 				checks++
-				j.Checked(at, dial, 1)
+				detector.Checked(at, dial, 1)
 			case Lost:
 				lostAt = at
 			}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -10,13 +10,13 @@
 	"rainpulley/internal/jsonlines"
 )
 
-// look is what the last look before a set-up's first byte found.
-type look int
+// admission is what was found ahead of a set-up's first byte.
+type admission int
 
 const (
-	goes    look = iota
-	hungUp       // the connection is over, and nothing was written on it
-	tooLate      // its viewer has left, its time is up or its server takes no more: it is not sent any more
+	admitted       admission = iota
+	connectionOver           // the connection is over, and nothing was written on it
+	notWanted                // its viewer has left, its time is up or its server takes no more: it is not sent any more
 )
 
 // SetUp asks a server to start a session. A connection that was closed while it rested is no attempt: another one is
@@ -36,14 +36,14 @@
 			return core.Result{Outcome: notConnected(ctx, err)}
 		}
 		rested := l.used > 0
-		if p.n.looking != nil {
-			p.n.looking(a.ID)
+		if p.n.beforeAdmission != nil {
+			p.n.beforeAdmission(a.ID)
 		}
-		switch p.lastLook(ctx, l, a.ID, v) {
-		case tooLate:
+		switch p.admit(ctx, l, a.ID, v) {
+		case notWanted:
 			p.free(l)
 			return core.Result{Outcome: control.Moot}
-		case hungUp:
+		case connectionOver:
 			if rested {
 				continue
 			}
@@ -61,19 +61,19 @@
 	}
 }
 
-// lastLook puts a set-up on a link if it may still go. What waited for its connection may be wanted no more: the
+// admit puts a set-up on a link if it may still go. What waited for its connection may be wanted no more: the
 // viewer's own mark is looked at, since its leave may still be queued for the owner behind hundreds of requests.
-func (p *pool) lastLook(ctx context.Context, l *link, id string, v *session) look {
+func (p *pool) admit(ctx context.Context, l *link, id string, v *session) admission {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case ctx.Err() != nil || p.n.patience(ctx) <= 0 || l.s.state != control.Ready || v.withdrawn():
-		return tooLate
+		return notWanted
 	case l.gone:
-		return hungUp
+		return connectionOver
 	}
 	l.sid, l.heard = id, p.n.now()
-	return goes
+	return admitted
 }
 
 // notConnected tells what a connection that did not come up says of its server. Nothing, where the viewer withdrew
@@ -101,7 +101,7 @@
 	late := errors.Is(ctx.Err(), context.DeadlineExceeded) && !l.gone
 	l.say(jsonlines.Close, a.ID, nil, jsonlines.CauseEnd, "")
 	if late {
-		l.s.judge.Unanswered()
+		l.s.detector.RequestTimedOut()
 		p.retire(l)
 	}
 	p.mu.Unlock()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -67,8 +67,8 @@
 			return nil, fmt.Errorf("%s: %w", a.field, err)
 		}
 	}
-	if !(c.Cores > 0) || c.MemoryMB <= 0 || c.Sockets < leastSockets {
-		return nil, fmt.Errorf("limits: cores and memory_mb must be positive, sockets at least %d", leastSockets)
+	if !(c.Cores > 0) || c.MemoryMB <= 0 || c.Sockets < minSockets {
+		return nil, fmt.Errorf("limits: cores and memory_mb must be positive, sockets at least %d", minSockets)
 	}
 	var err error
 	if f.Seed != "" {
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -120,13 +120,13 @@
 	}
 }
 
-// TestViewerGoneAtLastLook: the same where a connection rests and only the last look is left.
-func TestViewerGoneAtLastLook(t *testing.T) {
+// TestViewerGoneAtAdmission: the same where a connection rests and only the last look is left.
+func TestViewerGoneAtAdmission(t *testing.T) {
 	for name, leave := range withdrawals {
 		t.Run(name, func(t *testing.T) {
 			b, g := newBox(t, "s-1", nil), newGate()
 			n := startGated(t, func(n *Node) {
-				n.looking = func(id string) {
+				n.beforeAdmission = func(id string) {
 					if id == idA {
 						g.pass(id)
 					}
@@ -199,7 +199,7 @@
 		t.Run(class, func(t *testing.T) {
 			b, g := newBox(t, "s-1", nil), newGate()
 			n := startGated(t, func(n *Node) {
-				n.looking = func(id string) {
+				n.beforeAdmission = func(id string) {
 					if id == idA {
 						g.pass(id)
 					}
@@ -242,7 +242,7 @@
 // elsewhere, and once only.
 func TestKilledBehindAccept(t *testing.T) {
 	a, b, g := newBox(t, "s-1", nil), newBox(t, "s-2", nil), newGate()
-	n := startGated(t, func(n *Node) { n.looking = func(id string) { g.pass(id) } }, a, b)
+	n := startGated(t, func(n *Node) { n.beforeAdmission = func(id string) { g.pass(id) } }, a, b)
 	v := n.dial().say(setUp(idA, "paid", ""))
 	g.wait(t)
 	first, other := a, b
@@ -316,9 +316,9 @@
 	n.agree(2)
 }
 
-// TestReleaseCrossesThinning: a release that is queued as its connection is closed for being one too many still reaches
+// TestReleaseCrossesClosingOfSurplus: a release that is queued as its connection is closed for being one too many still reaches
 // the server.
-func TestReleaseCrossesThinning(t *testing.T) {
+func TestReleaseCrossesClosingOfSurplus(t *testing.T) {
 	b := newBox(t, "s-1", ready)
 	n := startNode(t, b)
 	v := n.dial().say(setUp(idA, "free", ""))
@@ -463,7 +463,7 @@
 func TestDrainCrossesSetUp(t *testing.T) {
 	a, b, g := newBox(t, "s-1", ready), newBox(t, "s-2", ready), newGate()
 	n := startGated(t, func(n *Node) {
-		n.looking = func(id string) {
+		n.beforeAdmission = func(id string) {
 			if id == idA {
 				g.pass(id)
 			}
@@ -620,7 +620,7 @@
 	v.wantRelease(idA, "cause=41")
 	n.agree(0)
 	late := newBox(t, "s-8", nil)
-	n.pool.mu.Lock() // the judge waits until the list is there
+	n.pool.mu.Lock() // the detector waits until the list is there
 	v.say(setUp(idB, "free", ";at:s-8"))
 	n.feed.push(late.entry("up"))
 	n.pool.mu.Unlock()
@@ -645,7 +645,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBox(t, "s-1", ready)
-			// Notes are not missed in this test: the judge's own tries would open connections too.
+			// Notes are not missed in this test: the detector's own tries would open connections too.
 			n := startGated(t, func(n *Node) { n.Config.Set.LinkNoteEvery = time.Hour }, b)
 			v := n.dial().say(setUp(idA, "free", ""))
 			v.want(idA, 200)
--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -53,7 +53,7 @@
 		c.say(setUp(idC, "paid", ""))
 		n.stop()
 		eventually(t, "the node leaving", n.viewers.leaving.Load)
-		time.Sleep(2 * lastCall) // a core that is busy elsewhere: the first look's time passes
+		time.Sleep(2 * backlogQuiet) // a core that is busy elsewhere: the first look's time passes
 		n.viewers.mu.Unlock()
 		if got := b.oneAnswer(idA); got != 503 {
 			t.Errorf("answered %d", got)
@@ -204,7 +204,7 @@
 func TestSignalsCross(t *testing.T) {
 	a, b := newBox(t, "s-1", nil), newBox(t, "s-2", nil)
 	n := startNode(t, a)
-	n.Arriving = beforeKill // and the longest deadline on top, 1 s
+	n.Arriving = killMargin // and the longest deadline on top, 1 s
 	v := n.dial().say(setUp(idA, "paid", ""))
 	m := a.next(t, "open")
 	n.stop() // what SIGTERM does
@@ -256,9 +256,9 @@
 	n.agree(4)
 }
 
-// TestLastWordsAreHeardOut: bytes of a viewer that lie unread when all connections close are read before; a close with
+// TestUnreadBytesAreRead: bytes of a viewer that lie unread when all connections close are read before; a close with
 // them unread is a reset, which destroys the answer that the viewer has not read yet.
-func TestLastWordsAreHeardOut(t *testing.T) {
+func TestUnreadBytesAreRead(t *testing.T) {
 	n := startNode(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -351,9 +351,9 @@
 func TestStaysUntilLastArrival(t *testing.T) {
 	const lastArrival = 600 * time.Millisecond
 	for _, deadline := range []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, 350 * time.Millisecond, time.Second, 3 * time.Second, 10 * time.Second} {
-		n := &Node{Config: &Config{}, Arriving: stillArriving}
+		n := &Node{Config: &Config{}, Arriving: arrivalWindow}
 		n.Config.Set.Classes = []control.Class{{Deadline: deadline / 2}, {Deadline: deadline}}
-		kill := stillArriving + min(deadline, 3*time.Second)
+		kill := arrivalWindow + min(deadline, 3*time.Second)
 		if stays := n.staysFor(); stays <= lastArrival || stays >= kill {
 			t.Errorf("longest deadline %v: stays %v, the last request comes after %v, the kill after %v", deadline, stays, lastArrival, kill)
 		}
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -120,7 +120,7 @@
 	errMoved  = errors.New("node: the server is another by now")
 )
 
-// dial opens a link to a server within a time, on a place that was reserved for it, and tells the server's judge what
+// dial opens a link to a server within a time, on a place that was reserved for it, and tells the server's detector what
 // came of it.
 func (p *pool) dial(ctx context.Context, s *server, within time.Duration, why purpose) (*link, error) {
 	p.mu.Lock()
@@ -140,7 +140,7 @@
 		_ = conn.Close()
 		return nil, errMoved
 	}
-	p.tellJudge(s, liveness.Up, why)
+	p.tellDetector(s, liveness.Up, why)
 	return p.addLink(s, conn), nil
 }
 
@@ -152,17 +152,17 @@
 		return errNoRoom
 	}
 	if ctx.Err() == nil {
-		p.tellJudge(s, dialled(err), why)
+		p.tellDetector(s, dialResult(err), why)
 	}
 	return err
 }
 
-func (p *pool) tellJudge(s *server, result liveness.Dialled, why purpose) {
+func (p *pool) tellDetector(s *server, result liveness.DialResult, why purpose) {
 	if why == forCheck {
-		s.judge.Checked(p.n.now(), result, len(s.links))
+		s.detector.Checked(p.n.now(), result, len(s.links))
 		return
 	}
-	s.judge.Dialled(p.n.now(), result, len(s.links))
+	s.detector.Dialed(p.n.now(), result, len(s.links))
 }
 
 // addLink puts a connection that came up into use.
@@ -182,7 +182,7 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-func dialled(err error) liveness.Dialled {
+func dialResult(err error) liveness.DialResult {
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return liveness.Refused
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,17 +29,17 @@
 	// Arriving is how long after SIGTERM requests still come.
 	Arriving time.Duration
 	// Dial opens a connection to a server.
-	Dial    func(ctx context.Context, addr string, within time.Duration) (net.Conn, error)
-	looking func(id string)     // if set, called ahead of the last look before a set-up's first byte
-	module  *control.Controller // touched on the owner's goroutine only
-	owner   *core.Owner
-	pool    *pool
-	viewers *viewers
-	follow  *coordinator.Follower
-	serving context.Context // ends with the service of the node
-	base    time.Time
-	wall    time.Duration
-	work    sync.WaitGroup
+	Dial            func(ctx context.Context, addr string, within time.Duration) (net.Conn, error)
+	beforeAdmission func(id string)     // if set, called ahead of the admission of a set-up's first byte
+	module          *control.Controller // touched on the owner's goroutine only
+	owner           *core.Owner
+	pool            *pool
+	viewers         *viewers
+	follow          *coordinator.Follower
+	serving         context.Context // ends with the service of the node
+	base            time.Time
+	wall            time.Duration
+	work            sync.WaitGroup
 
 	mu       sync.Mutex
 	sessions map[string]*session // that wait or stand, by id
@@ -48,23 +48,23 @@
 }
 
 const (
-	leastSockets  = 64
+	minSockets    = 64
 	socketSlack   = 50 * time.Millisecond  // every time limit is so much longer on sockets
-	stillArriving = 700 * time.Millisecond // after SIGTERM requests still come so long
-	beforeKill    = 350 * time.Millisecond // the node begins to end so long before the earliest kill
+	arrivalWindow = 700 * time.Millisecond // after SIGTERM requests still come so long
+	killMargin    = 350 * time.Millisecond // the node begins to end so long before the earliest kill
 
 	// afterLastArrival is the part of Arriving in which no request comes any more: the platform sends the last ones 0.6 s
 	// after SIGTERM at most.
 	afterLastArrival = 50 * time.Millisecond
 
-	flushFor  = 100 * time.Millisecond
-	mostCalls = 100 * time.Millisecond // connections that keep coming while the node ends are taken so long
-	maxQueued = 1024
+	flushTimeout   = 100 * time.Millisecond
+	backlogTimeout = 100 * time.Millisecond // connections that keep coming while the node ends are taken so long
+	maxQueued      = 1024
 )
 
 // New makes a front node.
 func New(c *Config, path string, log *slog.Logger) (*Node, error) {
-	n := &Node{Config: c, Path: path, Log: log, Arriving: stillArriving, Dial: dialTCP, base: time.Now(), sessions: map[string]*session{}}
+	n := &Node{Config: c, Path: path, Log: log, Arriving: arrivalWindow, Dial: dialTCP, base: time.Now(), sessions: map[string]*session{}}
 	n.wall = time.Duration(n.base.UnixNano())
 	set := c.Set
 	set.Peers = false // nothing tells where they are
@@ -167,7 +167,7 @@
 	n.viewers.leaving.Store(true)
 	n.viewers.stopListening(l)
 	n.owner.FinishRequests()
-	within(mostCalls, func() bool { return isClosed(listening) })
+	within(backlogTimeout, func() bool { return isClosed(listening) })
 	_ = l.Close()
 	<-listening
 	// Servers first: what they have said is passed on, what they say from now on they keep for the next instance. With the
@@ -201,7 +201,7 @@
 // kill is not near. Where all deadlines are short it stays until the last requests have come: one that found nobody
 // listening would be lost.
 func (n *Node) staysFor() time.Duration {
-	return max(n.Arriving+n.longest()-beforeKill, n.Arriving-afterLastArrival)
+	return max(n.Arriving+n.longest()-killMargin, n.Arriving-afterLastArrival)
 }
 
 // longest is the longest deadline of a class.
@@ -212,12 +212,12 @@
 	return min(d, 3*time.Second)
 }
 
-const compareEach = 2 * time.Second
+const compareInterval = 2 * time.Second
 
 // compare logs where the module's count of own sessions at a server is not that on the sockets. For a moment
 // they may differ, while a set-up is out or a release on its way.
 func (n *Node) compare(ctx context.Context) {
-	tick := time.NewTicker(compareEach)
+	tick := time.NewTicker(compareInterval)
 	defer tick.Stop()
 	for {
 		select {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -245,7 +245,7 @@
 	n.viewers.mu.Lock()
 	open := len(n.viewers.all)
 	n.viewers.mu.Unlock()
-	if open > n.viewers.most {
+	if open > n.viewers.maxConnections {
 		t.Errorf("%d connections", open)
 	}
 	v.say(setUp(idC, "free", "")).want(idC, 200) // the first is there still
@@ -285,7 +285,7 @@
 	a.die()
 	v.wantRelease(idA, "cause=41")
 	n.agree(1)
-	_ = v.SetReadDeadline(time.Now().Add(2 * time.Second)) // several times what a judge waits for a note
+	_ = v.SetReadDeadline(time.Now().Add(2 * time.Second)) // several times what a detector waits for a note
 	if m, err := v.r.Next(); err == nil {
 		t.Errorf("a quiet server lost its session: %+v", m)
 	}
@@ -339,8 +339,8 @@
 	}
 }
 
-// TestLookedAtAgain: a set-up whose server was drained, or whose viewer withdrew, while it waited is not sent.
-func TestLookedAtAgain(t *testing.T) {
+// TestAdmissionLooksAgain: a set-up whose server was drained, or whose viewer withdrew, while it waited is not sent.
+func TestAdmissionLooksAgain(t *testing.T) {
 	b := newBox(t, "s-1", nil)
 	n := startNode(t, b)
 	v := n.dial().say(setUp(idC, "free", ""))
@@ -441,7 +441,7 @@
 func TestLeaves(t *testing.T) {
 	b := newBox(t, "s-1", nil)
 	n := startNode(t, b)
-	n.Arriving = beforeKill
+	n.Arriving = killMargin
 	v := n.dial().say(setUp(idA, "paid", ""))
 	m := b.next(t, "open")
 	n.stop()
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -91,6 +91,13 @@
 	}
 }
 
+// firstMessage sends a viewer that has come back what it was not told meanwhile.
+func (v *viewers) firstMessage(c *viewer) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.sendNotices(c.from)
+}
+
 // connectionFrom is the connection from an address on which a notice is most likely read; nil if there is none. One that
 // has not sent a whole message yet may belong to anybody.
 func (v *viewers) connectionFrom(address string) (best *viewer) {
--- a/internal/node/outbox.go
+++ b/internal/node/outbox.go
@@ -21,7 +21,7 @@
 }
 
 const (
-	mostPending  = 256 << 10
+	maxPending   = 256 << 10
 	writeTimeout = 2 * time.Second
 )
 
@@ -33,7 +33,7 @@
 		return false
 	}
 	o.pending = add(o.pending)
-	if len(o.pending) > mostPending {
+	if len(o.pending) > maxPending {
 		o.dead = true
 		go o.fail()
 		return false
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -41,7 +41,7 @@
 	unconnectedSince time.Duration
 	standing         map[string]bool
 	abandoned        map[string]bool // set-ups whose connection broke: they may run, and nobody wants them
-	judge            liveness.Judge
+	detector         liveness.Detector
 	releases         *delivery.Pending[struct{}] // of sessions that the server need not run any more
 	earlyEnds        map[string]earlyEnd         // of sessions that this node does not know yet
 	renewAt          time.Duration               // a connection ended, maybe with a release on it: from then on another one tells it again
@@ -105,7 +105,7 @@
 }
 
 func (p *pool) add(id string, now time.Duration) *server {
-	s := &server{id: id, unconnectedSince: now, standing: map[string]bool{}, abandoned: map[string]bool{}, judge: liveness.New(now),
+	s := &server{id: id, unconnectedSince: now, standing: map[string]bool{}, abandoned: map[string]bool{}, detector: liveness.New(now),
 		releases: delivery.New[struct{}](releaseLifetime, releaseDoubt), earlyEnds: map[string]earlyEnd{}}
 	p.byID[id] = s
 	return s
@@ -129,7 +129,7 @@
 // tidy forgets servers that have gone and run nothing any more.
 func (p *pool) tidy() {
 	for id, s := range p.byID {
-		busy := len(s.standing) > 0 || s.releases.HasWaiting() || len(s.idle) < len(s.links) || s.judge.Checking()
+		busy := len(s.standing) > 0 || s.releases.HasWaiting() || len(s.idle) < len(s.links) || s.detector.Checking()
 		if s.state == control.Gone && !busy {
 			for len(s.links) > 0 {
 				p.retire(s.links[0]) // a release may wait on it
@@ -177,7 +177,7 @@
 }
 
 // adopt counts a session that a server runs already, and tells how it ended if the server has said so. A server that no
-// list names is judged like one that was removed: nobody else would ever end its sessions.
+// list names is checked like one that was removed: nobody else would ever end its sessions.
 func (p *pool) adopt(id, srv string) (end earlyEnd, over bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -28,7 +28,7 @@
 }
 
 func (p *pool) probe(s *server, sid string) (bool, *control.Load) {
-	ctx, stop := context.WithTimeout(p.n.serving, p.n.Config.Platform.ConnectTimeout+probeFor)
+	ctx, stop := context.WithTimeout(p.n.serving, p.n.Config.Platform.ConnectTimeout+probeTimeout)
 	defer stop()
 	l, err := p.take(ctx, s)
 	if err != nil {
@@ -61,4 +61,4 @@
 	return r.Outcome == control.Served, r.Load
 }
 
-const probeFor = 250 * time.Millisecond // for the answer, behind the connection
+const probeTimeout = 250 * time.Millisecond // for the answer, behind the connection
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -37,7 +37,7 @@
 	load := wire.Load(m.Figures("load"))
 	p.mu.Lock()
 	l.heard = p.n.now()
-	l.s.judge.Heard(l.heard)
+	l.s.detector.Heartbeat(l.heard)
 	mine := l.sid != "" && l.sid == m.ID
 	switch {
 	case m.Type == jsonlines.Ready && mine && !l.probe:
--- a/internal/node/setup.go
+++ b/internal/node/setup.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	addresses    = "rtsp://media/"
-	longestTimer = 10 * time.Minute
-	longestGuess = 24 * time.Hour
+	addresses = "rtsp://media/"
+	maxTimer  = 10 * time.Minute
+	maxGuess  = 24 * time.Hour
 
-	longestDedupe = 256 // bytes of a viewer's key of repeats
+	maxDedupe = 256 // bytes of a viewer's key of repeats
 )
 
 // isID tells 16 hex digits.
@@ -79,7 +79,7 @@
 			return r, nil, "tenant"
 		}
 	}
-	if s.dedupe = m.Get("X-Dedupe"); len(s.dedupe) > longestDedupe || !utf8.ValidString(s.dedupe) {
+	if s.dedupe = m.Get("X-Dedupe"); len(s.dedupe) > maxDedupe || !utf8.ValidString(s.dedupe) {
 		return r, nil, "dedupe"
 	}
 	if !utf8.ValidString(s.text) {
@@ -96,7 +96,7 @@
 		r.Repeat = true
 	}
 	if g := m.Get("X-Guess"); g != "" {
-		length, ok := millis(g, longestGuess)
+		length, ok := millis(g, maxGuess)
 		if !ok {
 			return "hint"
 		}
@@ -109,7 +109,7 @@
 	if s.adopted {
 		return ""
 	}
-	timer, ok := millis(m.Get("X-Timer-Ms"), longestTimer)
+	timer, ok := millis(m.Get("X-Timer-Ms"), maxTimer)
 	if !ok || timer <= 0 {
 		return "timer"
 	}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -17,7 +17,7 @@
 	checkTimeout  = 1200 * time.Millisecond // a handshake that got lost is sent again after a second (RFC 6298)
 )
 
-// keepUp holds one connection to each server with sessions and asks the judges, until ctx ends.
+// keepUp holds one connection to each server with sessions and asks the failure detectors, until ctx ends.
 func (p *pool) keepUp(ctx context.Context) {
 	tick := time.NewTicker(watchInterval)
 	defer tick.Stop()
@@ -58,16 +58,16 @@
 			p.n.start(func() { p.check(ctx, s) })
 			continue
 		}
-		s.judge.Deferred()
+		s.detector.Deferred()
 		p.n.near.checksDeferred.Add(1)
 	}
 	p.tidy()
 }
 
-// verdict asks the judge of a server with sessions. One whose connection ended has another opened anyway.
+// verdict asks the failure detector of a server with sessions. One whose connection ended has another opened anyway.
 func (p *pool) verdict(s *server, now time.Duration) liveness.Verdict {
-	verdict := s.judge.Next(now, p.n.Config.Set.LinkNoteEvery, len(s.links), s.state != control.Gone)
-	if verdict == liveness.Wait && s.renewAt > 0 && now >= s.renewAt && s.judge.Begin(now) {
+	verdict := s.detector.Next(now, p.n.Config.Set.LinkNoteEvery, len(s.links), s.state != control.Gone)
+	if verdict == liveness.Wait && s.renewAt > 0 && now >= s.renewAt && s.detector.BeginCheck(now) {
 		return liveness.Check
 	}
 	return verdict
@@ -121,9 +121,9 @@
 	p.n.Log.Debug("no connection", "server", s.id, "error", err)
 	if errors.Is(err, errNoRoom) || errors.Is(err, errMoved) || ctx.Err() != nil {
 		p.mu.Lock()
-		s.judge.Unknown(p.n.now())
+		s.detector.Inconclusive(p.n.now())
 		p.mu.Unlock()
 		return true
 	}
-	return dialled(err) == liveness.Refused
+	return dialResult(err) == liveness.Refused
 }
