--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -72,12 +72,11 @@
 	if pending == nil || !pending.HasWaiting() {
 		return
 	}
-	other := v.connectionFrom(address)
 	for _, message := range pending.Waiting() {
 		m := message.Value
 		on := m.origin
 		if !on.out.put(m.appendTo) {
-			on = other
+			on = v.connectionFrom(address)
 			if on == nil || !on.out.put(m.appendTo) {
 				v.n.Log.Debug("no connection for a notice, it waits", "session", m.id, "from", address)
 				continue
