Messages split at every boundary in turn are read as they were written

Each boundary of two RTSP messages and of two JSON lines is now read in turn, body, escapes and a two-byte character included. No fault found.

--- a/internal/jsonlines/jsonlines_test.go
+++ b/internal/jsonlines/jsonlines_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"errors"
+	"io"
 	"strings"
 	"testing"
 	"unicode/utf8"
@@ -67,3 +68,18 @@
 		}
 	})
 }
+
+// TestSplitAtEveryBoundary: a line that arrives in two pieces is read as it was written, wherever it is split.
+func TestSplitAtEveryBoundary(t *testing.T) {
+	const text = `{"msg":"ready","sid":"9b","attrs":{"load":"x0:1"},"text":"a\r\n\"ü\""}` + "\n" + `{"msg":"close","sid":"9c","attrs":{},"code":34}` + "\n"
+	for at := 1; at < len(text); at++ {
+		r := bufio.NewReaderSize(io.MultiReader(strings.NewReader(text[:at]), strings.NewReader(text[at:])), Most)
+		first, err := Read(r)
+		if err != nil || first.Type != Ready || first.ID != "9b" || first.Text == nil || *first.Text != "a\r\n\"ü\"" {
+			t.Errorf("split at byte %d: %+v, %v", at, first, err)
+		}
+		if second, err := Read(r); err != nil || second.Type != Close || second.ID != "9c" || second.Cause() != CauseFull {
+			t.Errorf("split at byte %d: %+v, %v", at, second, err)
+		}
+	}
+}
--- a/internal/rtsp/rtsp_test.go
+++ b/internal/rtsp/rtsp_test.go
@@ -93,3 +93,26 @@
 		}
 	})
 }
+
+// TestSplitAtEveryBoundary: a message that arrives in two pieces is read as it was written, wherever it is split.
+func TestSplitAtEveryBoundary(t *testing.T) {
+	const text = "SETUP rtsp://media/7f RTSP/1.0\r\nCSeq: 1\r\nSession: a\r\nContent-Length: 6\r\n\r\na\r\n\r\nb" +
+		"RTSP/1.0 200 OK\r\nCSeq: 2\r\nContent-Length: 0\r\n\r\n"
+	whole := reader(text)
+	var want [2]*Message
+	for i := range want {
+		m, err := whole.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		want[i] = m
+	}
+	for at := 1; at < len(text); at++ {
+		split := NewReader(bufio.NewReaderSize(io.MultiReader(strings.NewReader(text[:at]), strings.NewReader(text[at:])), 4<<10))
+		for i := range want {
+			if m, err := split.Next(); err != nil || !reflect.DeepEqual(m, want[i]) {
+				t.Errorf("split at byte %d, message %d: %+v, %v", at, i, m, err)
+			}
+		}
+	}
+}
