Nothing is dialled while a node ends; pending deliveries keep apart what waits and what was sent

Need: a server says a release once on the next connection opened: one opened by a node that is about to end would take it from the next instance. Change: no check begins and no place is given once connections to servers are closed. delivery.Pending has two maps, so that a burst of lost sessions does not go through all that was sent for each; 2,000 random interleavings against the model pass.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -24,7 +24,8 @@
 type Pending[T any] struct {
 	lifetime time.Duration
 	doubt    time.Duration
-	entries  map[string]*entry[T]
+	waiting  map[string]*entry[T]
+	sent     map[string]*entry[T]
 	added    uint64
 }
 
@@ -33,91 +34,88 @@
 	value  T
 	order  uint64 // of the message among all that were added
 	at     time.Duration
-	sentOn ConnectionID // noConnection while it waits
+	sentOn ConnectionID // the last one
 	sentAt time.Duration
 }
 
-const noConnection ConnectionID = 0
-
 // New returns an empty set. A message is kept for lifetime after it was added. A message whose connection ended more
 // than doubt after it was sent counts as delivered.
 func New[T any](lifetime, doubt time.Duration) *Pending[T] {
-	return &Pending[T]{lifetime: lifetime, doubt: doubt, entries: map[string]*entry[T]{}}
+	return &Pending[T]{lifetime: lifetime, doubt: doubt, waiting: map[string]*entry[T]{}, sent: map[string]*entry[T]{}}
 }
 
 // Len is the number of messages that are held, sent or not.
-func (p *Pending[T]) Len() int { return len(p.entries) }
+func (p *Pending[T]) Len() int { return len(p.waiting) + len(p.sent) }
+
+// HasWaiting tells whether a message has to be sent.
+func (p *Pending[T]) HasWaiting() bool { return len(p.waiting) > 0 }
 
 // Add holds a message as waiting. A message under a key that is held already is ignored.
 func (p *Pending[T]) Add(key string, value T, now time.Duration) {
-	if p.entries[key] != nil {
+	if p.waiting[key] != nil || p.sent[key] != nil {
 		return
 	}
 	p.added++
-	p.entries[key] = &entry[T]{value: value, order: p.added, at: now}
+	p.waiting[key] = &entry[T]{value: value, order: p.added, at: now}
 }
 
 // Waiting lists the messages that have to be sent, in the order in which they were added.
 func (p *Pending[T]) Waiting() []Message[T] {
-	var waiting []Message[T]
-	for key, e := range p.entries {
-		if e.sentOn == noConnection {
-			waiting = append(waiting, Message[T]{Key: key, Value: e.value})
-		}
+	messages := make([]Message[T], 0, len(p.waiting))
+	for key, e := range p.waiting {
+		messages = append(messages, Message[T]{Key: key, Value: e.value})
 	}
-	slices.SortFunc(waiting, func(a, b Message[T]) int {
-		return cmp.Compare(p.entries[a.Key].order, p.entries[b.Key].order)
+	slices.SortFunc(messages, func(a, b Message[T]) int {
+		return cmp.Compare(p.waiting[a.Key].order, p.waiting[b.Key].order)
 	})
-	return waiting
-}
-
-// HasWaiting tells whether a message has to be sent.
-func (p *Pending[T]) HasWaiting() bool {
-	for _, e := range p.entries {
-		if e.sentOn == noConnection {
-			return true
-		}
-	}
-	return false
+	return messages
 }
 
-// Sent says that a message was handed to a connection.
+// Sent says that a waiting message was handed to a connection.
 func (p *Pending[T]) Sent(key string, on ConnectionID, now time.Duration) {
-	if e := p.entries[key]; e != nil {
-		e.sentOn, e.sentAt = on, now
+	e := p.waiting[key]
+	if e == nil {
+		return
 	}
+	e.sentOn, e.sentAt = on, now
+	delete(p.waiting, key)
+	p.sent[key] = e
 }
 
 // Confirmed says that the peer has the message.
-func (p *Pending[T]) Confirmed(key string) { delete(p.entries, key) }
+func (p *Pending[T]) Confirmed(key string) {
+	delete(p.waiting, key)
+	delete(p.sent, key)
+}
 
 // ConnectionEnded says that a connection is over. What was sent on it a short time ago waits again; what was sent
 // earlier has arrived and is forgotten. It returns how many messages wait again.
 func (p *Pending[T]) ConnectionEnded(ended ConnectionID, now time.Duration) (again int) {
-	for key, e := range p.entries {
-		switch {
-		case e.sentOn != ended:
-		case now-e.sentAt > p.doubt:
-			delete(p.entries, key)
-		default:
-			e.sentOn = noConnection
+	for key, e := range p.sent {
+		if e.sentOn != ended {
+			continue
+		}
+		delete(p.sent, key)
+		if now-e.sentAt <= p.doubt {
+			p.waiting[key] = e
 			again++
 		}
 	}
 	return again
 }
 
-// Expire forgets messages whose lifetime is over, and lists the keys of those that were never sent, in the order in
+// Expire forgets messages whose lifetime is over, and lists the keys of those that were still waiting, in the order in
 // which they were added.
 func (p *Pending[T]) Expire(now time.Duration) (undelivered []string) {
 	for _, m := range p.Waiting() {
-		if now-p.entries[m.Key].at > p.lifetime {
+		if now-p.waiting[m.Key].at > p.lifetime {
 			undelivered = append(undelivered, m.Key)
+			delete(p.waiting, m.Key)
 		}
 	}
-	for key, e := range p.entries {
+	for key, e := range p.sent {
 		if now-e.at > p.lifetime {
-			delete(p.entries, key)
+			delete(p.sent, key)
 		}
 	}
 	return undelivered
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -12,13 +12,15 @@
 const (
 	lifetime = 8 * time.Second
 	doubt    = time.Second
+
+	noConnection ConnectionID = 0
 )
 
 // modelEntry is one message in the plainest model: a list that is searched.
 type modelEntry struct {
 	key     string
 	at      time.Duration
-	sentOn  ConnectionID
+	sentOn  ConnectionID // noConnection while it waits
 	sentAt  time.Duration
 	settled bool // confirmed, or its connection outlived the doubt
 }
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -26,7 +26,7 @@
 func (p *pool) reserveFree() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.links >= p.maxLinks {
+	if p.over || p.links >= p.maxLinks {
 		return false
 	}
 	p.links++
@@ -61,6 +61,9 @@
 
 // reserve takes a place for one more connection, if need be that of an idle one that may go. The caller holds the lock.
 func (p *pool) reserve(mayGo func(*link) bool) bool {
+	if p.over {
+		return false
+	}
 	if p.links >= p.maxLinks {
 		l := p.cheapestIdle(mayGo)
 		if l == nil {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -35,6 +35,9 @@
 func (p *pool) watch(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.over { // what a server said on a connection that nobody reads would be lost for the next instance
+		return
+	}
 	now := p.n.now()
 	var due []*server
 	for _, s := range p.byID {
