core.go split by concern: owner, run, request, timers; names of the field

Behaviour unchanged: run.go (loop and end), request.go (one request from arrival to end), timers.go, act.go (the module's actions); loud, owed, overdrawn, born, mostEarly, Most have plain names.

--- a/internal/core/act.go
+++ b/internal/core/act.go
@@ -17,11 +17,11 @@
 		case control.SetRung:
 			o.setRung(a)
 		case control.Refuse:
-			if r := o.owed(a.ID, "refuse"); r != nil {
+			if r := o.awaiting(a.ID, "refuse"); r != nil {
 				o.answer(r, Answer{Kind: Refused, After: a.After})
 			}
 		case control.Fail:
-			if r := o.owed(a.ID, "fail"); r != nil {
+			if r := o.awaiting(a.ID, "fail"); r != nil {
 				o.answer(r, Answer{Kind: Failed})
 			}
 		case control.Cancel:
@@ -44,8 +44,8 @@
 	}
 }
 
-// owed is a request that still waits for its answer.
-func (o *Owner) owed(id, action string) *request {
+// awaiting is a request that still waits for its answer.
+func (o *Owner) awaiting(id, action string) *request {
 	r := o.open[id]
 	if r == nil || r.answered || r.gone {
 		o.Log.Debug("action for a request that is over", "session", id, "action", action)
@@ -54,12 +54,12 @@
 	return r
 }
 
-// overdrawn keeps the budget over a restart. An edge that was killed forgets what it sent on; were its next instance to
+// overBudget keeps the budget over a restart. An edge that was killed forgets what it sent on; were its next instance to
 // spend the free part at once, both together would break the budget of one front. For the first span there is no
 // free part. Harm: an edge that starts for the first time has fewer further attempts for as long.
-func (o *Owner) overdrawn() bool {
+func (o *Owner) overBudget() bool {
 	b := o.Budget
-	return b.Span > 0 && o.Now()-o.born < b.Span && float64(o.more+1) > b.Share*float64(o.taken)
+	return b.Span > 0 && o.Now()-o.startedAt < b.Span && float64(o.more+1) > b.Share*float64(o.taken)
 }
 
 // send starts an attempt. One that may not go out ends as moot, which the module is told: of a request
@@ -67,7 +67,7 @@
 // attempt of the same request.
 func (o *Owner) send(a control.Send) {
 	r := o.open[a.ID]
-	if r == nil || r.answered || r.gone || r.out || o.Most > 0 && r.attempts >= o.Most || r.attempts > 0 && o.overdrawn() {
+	if r == nil || r.answered || r.gone || r.out || o.MaxAttempts > 0 && r.attempts >= o.MaxAttempts || r.attempts > 0 && o.overBudget() {
 		o.Stats.Moot.Add(1)
 		if r != nil && r.out {
 			o.Log.Error("second attempt kept back", "session", a.ID, "server", a.Server)
@@ -94,7 +94,7 @@
 		o.more++
 		o.Stats.Further.Add(1)
 	}
-	if o.loud() {
+	if o.logsSessions() {
 		o.Log.Info("attempt", "session", r.ID, "server", a.Server, "attempt", attempt.Number, "rung", attempt.Rung, "patience", patience)
 	}
 	go o.attempt(ctx, attempt, max(patience, 0), now)
@@ -143,84 +143,3 @@
 	o.tell(control.Ended{ID: r.ID, Server: r.server, Attempt: r.attempts - 1, Outcome: control.Cancelled,
 		Took: o.Now() - r.sent, Final: true})
 }
-
-// timer is one that the module set, or the backstop of a request's answer.
-type timer struct {
-	at       time.Duration
-	order    uint64
-	label    string
-	backstop bool
-}
-
-// timerHeap keeps timers by time, those of one time in the order in which they were set.
-type timerHeap struct {
-	list []timer
-	set  uint64
-}
-
-func (h *timerHeap) less(i, j int) bool {
-	a, b := &h.list[i], &h.list[j]
-	return a.at < b.at || a.at == b.at && a.order < b.order
-}
-
-func (h *timerHeap) push(t timer) {
-	h.set++
-	t.order = h.set
-	h.list = append(h.list, t)
-	for i := len(h.list) - 1; i > 0; {
-		up := (i - 1) / 2
-		if !h.less(i, up) {
-			break
-		}
-		h.list[i], h.list[up] = h.list[up], h.list[i]
-		i = up
-	}
-}
-
-func (h *timerHeap) pop() timer {
-	t, last := h.list[0], len(h.list)-1
-	h.list[0] = h.list[last]
-	h.list = h.list[:last]
-	for i := 0; ; {
-		low := i
-		for c := 2*i + 1; c <= 2*i+2 && c < last; c++ {
-			if h.less(c, low) {
-				low = c
-			}
-		}
-		if low == i {
-			return t
-		}
-		h.list[i], h.list[low] = h.list[low], h.list[i]
-		i = low
-	}
-}
-
-func (o *Owner) untilNext() time.Duration {
-	if len(o.timers.list) == 0 {
-		return time.Hour
-	}
-	return max(o.timers.list[0].at-o.Now(), 0)
-}
-
-// fire tells timers that are due. The backstop answers a request of which the module said nothing in
-// time: a viewer that waits for ever is worse than one that is told of a failure.
-func (o *Owner) fire() {
-	now := o.Now()
-	for len(o.timers.list) > 0 && o.timers.list[0].at <= now {
-		t := o.timers.pop()
-		if !t.backstop {
-			o.tell(control.TimerFired{Label: t.label})
-			continue
-		}
-		if r := o.open[t.label]; r != nil && !r.answered && !r.gone {
-			o.Stats.Overdue.Add(1)
-			o.Log.Error("answer overdue", "session", r.ID)
-			o.answer(r, Answer{Kind: Failed})
-			if r.out {
-				r.cancel(errCancelled)
-			}
-			o.tell(control.Left{ID: r.ID})
-		}
-	}
-}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -167,7 +167,7 @@
 		r.mu.Unlock()
 		return decide(now, e)
 	}
-	r.Owner = New(Options{Queue: 64, Most: most, Slack: 40 * time.Millisecond, Log: slog.New(slog.DiscardHandler),
+	r.Owner = New(Options{Queue: 64, MaxAttempts: most, Slack: 40 * time.Millisecond, Log: slog.New(slog.DiscardHandler),
 		Decider: scripted(told), Carrier: r.c, Now: func() time.Duration { return time.Since(begin) }})
 	ctx, stop := context.WithCancel(context.Background())
 	over := make(chan struct{})
@@ -391,7 +391,7 @@
 			away++
 		}
 	}
-	if away < 1000-64-mostInBatch-1 || len(taken) < 64 {
+	if away < 1000-64-maxBatch-1 || len(taken) < 64 {
 		t.Errorf("%d taken, %d turned away", len(taken), away)
 	}
 	close(block)
@@ -485,7 +485,7 @@
 		}
 		c := &carrier{t: t, out: map[string]int{}, setUp: setUp}
 		begin := time.Now()
-		o := New(Options{Queue: 64, Most: 4, Slack: 10 * time.Millisecond, Log: slog.New(slog.DiscardHandler), Carrier: c,
+		o := New(Options{Queue: 64, MaxAttempts: 4, Slack: 10 * time.Millisecond, Log: slog.New(slog.DiscardHandler), Carrier: c,
 			Decider: scripted(decide), Now: func() time.Duration { return time.Since(begin) }})
 		ctx, stop := context.WithCancel(context.Background())
 		over := make(chan struct{})
@@ -518,7 +518,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		begin := time.Now()
 		c := &carrier{t: t, out: map[string]int{}, setUp: func(context.Context, Attempt) Result { return Result{Outcome: control.Failed} }}
-		o := New(Options{Queue: 64, Most: 5, Slack: 40 * time.Millisecond, Log: slog.New(slog.DiscardHandler), Carrier: c,
+		o := New(Options{Queue: 64, MaxAttempts: 5, Slack: 40 * time.Millisecond, Log: slog.New(slog.DiscardHandler), Carrier: c,
 			Budget: Budget{Span: 10 * time.Second, Share: 0.2}, Now: func() time.Duration { return time.Since(begin) },
 			Decider: scripted(func(_ time.Duration, e control.Event) []control.Action {
 				switch e := e.(type) {
--- /dev/null
+++ b/internal/core/request.go
@@ -0,0 +1,214 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"rainpulley/control"
+)
+
+// request is one request from its arrival until nothing more can come of it.
+type request struct {
+	control.Request
+	listener Listener
+	answered bool
+	gone     bool // the viewer left before the answer
+	playing  bool
+	server   string
+	attempts int
+	rung     int
+	out      bool // an attempt is out
+	cancel   context.CancelCauseFunc
+	sent     time.Duration
+	early    []input // of the server tried, that came ahead of the end of its set-up
+}
+
+// maxEarly bounds what is kept of a server that says much before its set-up's end is known.
+const maxEarly = 8
+
+// adopt counts a session once: one that is open already stays as it is.
+func (o *Owner) adopt(r *request) {
+	if o.open[r.ID] != nil {
+		r.listener.Closed()
+		return
+	}
+	o.open[r.ID] = r
+	o.Stats.Open.Add(1)
+	o.Log.Info("session taken over", "session", r.ID, "server", r.server, "rung", r.rung)
+	o.tell(r.Request)
+	if r.rung >= 0 {
+		o.tell(control.Note{ID: r.ID, Server: r.server, Kind: control.NoteRung, Value: float64(r.rung)})
+	}
+}
+
+// noteDue keeps a note that came ahead of its session's start, and takes the rung that the server has in force.
+func (o *Owner) noteDue(n control.Note, in input) bool {
+	r := o.open[n.ID]
+	if r == nil || r.server != n.Server {
+		return true
+	}
+	if r.out {
+		r.keep(in)
+		return false
+	}
+	if n.Kind == control.NoteRung && n.Value >= 0 && n.Value < 1<<16 {
+		r.rung = int(n.Value)
+	}
+	return true
+}
+
+func (r *request) keep(in input) {
+	if len(r.early) < maxEarly {
+		r.early = append(r.early, in)
+	}
+}
+
+// serverEnded closes a session that its server ended; it is not released there any more.
+func (o *Owner) serverEnded(in input) {
+	r := o.open[in.id]
+	switch {
+	case r == nil || r.server != in.server:
+	case r.out:
+		r.keep(in)
+	case r.playing:
+		o.endSession(r, in.result.Outcome, in.result.Load)
+	}
+}
+
+func (o *Owner) begin(r *request) {
+	if o.ended { // handed in before FinishRequests, and taken from the queue just ahead of it
+		r.listener.Answered(Answer{Kind: Failed})
+		r.listener.Closed()
+		return
+	}
+	if o.open[r.ID] != nil {
+		o.Log.Error("request id seen before", "session", r.ID)
+		r.listener.Answered(Answer{Kind: Failed})
+		r.listener.Closed()
+		return
+	}
+	o.taken++
+	o.open[r.ID] = r
+	o.Stats.Open.Add(1)
+	o.timers.push(timer{at: r.Due + o.Slack/2, label: r.ID, backstop: true})
+	o.tell(r.Request)
+}
+
+// attemptEnded is told by the goroutine of a set-up.
+func (o *Owner) attemptEnded(in input) {
+	r := o.open[in.id]
+	if r == nil {
+		return
+	}
+	r.out = false
+	r.cancel(nil)
+	early := r.early
+	r.early = nil
+	e := control.Ended{ID: r.ID, Server: in.server, Attempt: in.attempt, Outcome: in.result.Outcome, Took: in.took,
+		Load: in.result.Load, Final: r.answered || r.gone}
+	if e.Outcome == control.Served && !e.Final {
+		r.playing = true
+		o.tell(control.Started{ID: r.ID, Server: in.server, Attempt: in.attempt, Took: in.took})
+		o.noteSetUp(r, in)
+		o.answer(r, Answer{Kind: Plays, Server: in.server, Rung: r.rung, Attempt: in.attempt, Setup: in.result.Setup})
+		for _, in := range early {
+			o.take(in)
+		}
+		return
+	}
+	if e.Outcome == control.Served { // nobody waits for it any more
+		e.Outcome = control.Cancelled
+	}
+	if mayStillRun(e.Outcome) {
+		o.Carrier.Release(r.ID, in.server, in.attempt)
+	}
+	o.Log.Info("attempt ended", "session", r.ID, "server", in.server, "attempt", in.attempt, "outcome", Name(e.Outcome),
+		"took", in.took, "final", e.Final)
+	if e.Final {
+		o.forget(r)
+	}
+	o.tell(e)
+}
+
+// noteSetUp passes on what the set-up's answer reported, as notes at set-up do.
+func (o *Owner) noteSetUp(r *request, in input) {
+	if l := in.result.Load; l != nil && l.Link != nil {
+		o.tell(control.Note{ID: r.ID, Server: in.server, Kind: control.NoteLink, Value: *l.Link})
+		if l.Uplink != nil {
+			o.tell(control.Note{ID: r.ID, Server: in.server, Kind: control.NoteUplink, Value: *l.Uplink})
+		}
+	}
+}
+
+// mayStillRun tells outcomes after which the server may still run the set-up.
+func mayStillRun(x control.Outcome) bool {
+	return x != control.Full && x != control.ConnectFailed && x != control.Moot
+}
+
+func (o *Owner) left(id string) {
+	r := o.open[id]
+	switch {
+	case r == nil:
+	case r.playing:
+		o.end(id, control.Cancelled)
+	case !r.gone:
+		r.gone = true
+		if !r.out {
+			o.forget(r)
+		}
+		o.tell(control.Left{ID: id})
+	}
+}
+
+// end closes a session that plays.
+func (o *Owner) end(id string, how control.Outcome) {
+	r := o.open[id]
+	if r == nil || !r.playing {
+		return
+	}
+	if how != control.Reset {
+		o.Carrier.Release(id, r.server, r.attempts-1)
+	}
+	o.endSession(r, how, nil)
+}
+
+// endSession tells viewer and module that a session no longer plays.
+func (o *Owner) endSession(r *request, how control.Outcome, l *control.Load) {
+	if o.logsSessions() {
+		o.Log.Info("session ended", "session", r.ID, "server", r.server, "outcome", Name(how))
+	}
+	r.listener.Ended(how, false)
+	o.forget(r)
+	o.tell(control.Ended{ID: r.ID, Server: r.server, Attempt: r.attempts - 1, Outcome: how, Took: o.Now() - r.sent, Final: true,
+		Load: l})
+}
+
+func (o *Owner) forget(r *request) {
+	delete(o.open, r.ID)
+	o.Stats.Open.Add(-1)
+	r.listener.Closed()
+}
+
+// answer gives a request its one answer.
+func (o *Owner) answer(r *request, a Answer) {
+	if r.answered {
+		o.Log.Error("second answer kept back", "session", r.ID, "answer", a.Kind.String())
+		return
+	}
+	r.answered = true
+	switch a.Kind {
+	case Plays:
+		o.Stats.Plays.Add(1)
+	case Refused:
+		o.Stats.Refused.Add(1)
+	case Failed:
+		o.Stats.Failed.Add(1)
+	}
+	if o.logsSessions() {
+		o.Log.Info("answer", "session", r.ID, "answer", a.Kind.String(), "server", a.Server, "rung", a.Rung, "attempts", r.attempts)
+	}
+	r.listener.Answered(a)
+	if a.Kind != Plays && !r.out {
+		o.forget(r)
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -108,7 +108,7 @@
 	}
 	e.boxes = newBoxes(e)
 	e.sources = &sources{e: e, byPath: map[string]sourceEntry{}}
-	e.owner = core.New(core.Options{Queue: o.Site.Limits.Queue, Most: o.Site.Attempts.Most, Slack: o.Site.Rules.AnswerSlack.D(),
+	e.owner = core.New(core.Options{Queue: o.Site.Limits.Queue, MaxAttempts: o.Site.Attempts.Most, Slack: o.Site.Rules.AnswerSlack.D(),
 		Budget: core.Budget{Span: e.set.BudgetSpan, Share: e.set.BudgetShare},
 		Log:    o.Log, Decider: d, Carrier: e.boxes, Now: e.now})
 	e.fleet.Store(&fleet{titles: map[string]view.Title{}})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,7 +75,7 @@
 	n.module = d
 	n.pool = newPool(n, c.Sockets*3/8)
 	n.viewers = newViewers(n, c.Sockets/2)
-	n.owner = core.New(core.Options{Queue: maxQueued, Most: c.Set.MaxAttempts, Slack: c.Platform.AnswerSlack + socketSlack,
+	n.owner = core.New(core.Options{Queue: maxQueued, MaxAttempts: c.Set.MaxAttempts, Slack: c.Platform.AnswerSlack + socketSlack,
 		Budget: core.Budget{Span: c.Set.BudgetSpan, Share: c.Set.BudgetShare}, Log: log, Decider: d, Carrier: n.pool, Now: n.now})
 	n.follow = coordinator.New(c.Coordinator, c.Known.Index, c.Platform.ConnectTimeout, log, n.take)
 	return n, nil
