--- a/internal/core/order_test.go
+++ b/internal/core/order_test.go
@@ -181,3 +181,41 @@
 	<-over
 	o.FinishRequests() // of an owner that has ended
 }
+
+// TestEndBehindManyNotes: a server says many notes of a session and then its end, all ahead of the end of its set-up. Notes
+// may be dropped, the end is not: the session would stand for ever.
+func TestEndBehindManyNotes(t *testing.T) {
+	sent, answered := make(chan struct{}), make(chan struct{})
+	c := &carrier{t: t, out: map[string]int{}, setUp: func(context.Context, Attempt) Result {
+		close(sent)
+		<-answered
+		return Result{Outcome: control.Served, Setup: "it plays"}
+	}}
+	o := New(Options{Queue: 4, Log: slog.New(slog.DiscardHandler), Carrier: c, Now: func() time.Duration { return 0 },
+		Decider: scripted(func(_ time.Duration, e control.Event) []control.Action {
+			if r, ok := e.(control.Request); ok {
+				return []control.Action{control.Send{ID: r.ID, Server: "s"}}
+			}
+			return nil
+		})})
+	ctx, stop := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() { o.Run(ctx); close(over) }()
+	defer func() { stop(); <-over }()
+	e, taken := newEar(t), make(chan struct{})
+	o.Request(control.Request{ID: "x", Due: time.Hour}, e)
+	<-sent
+	for i := range 10 * maxEarlyNotes {
+		o.Event(control.Note{ID: "x", Server: "s", Kind: control.NoteLink, Value: float64(i)})
+	}
+	o.ServerEnded("x", "s", control.Served, nil)
+	o.Inspect(func() { close(taken) })
+	<-taken
+	close(answered)
+	e.answer()
+	select {
+	case <-e.closed:
+	case <-time.After(5 * time.Second):
+		t.Error("the session stands on")
+	}
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -20,11 +20,15 @@
 	out      bool // an attempt is out
 	cancel   context.CancelCauseFunc
 	sent     time.Duration
-	early    []input // of the server tried, that came ahead of the end of its set-up
+
+	// Of the server tried, what came ahead of the end of its set-up.
+	earlyNotes []input
+	earlyEnd   *input // of the session: kept whatever notes come, or it would stand for ever
 }
 
-// maxEarly bounds what is kept of a server that says much before its set-up's end is known.
-const maxEarly = 8
+// maxEarlyNotes bounds the notes that are kept of a server that says much before its set-up's end is known. The next
+// note tells the same as one that is dropped.
+const maxEarlyNotes = 8
 
 // adopt counts a session once: one that is open already stays as it is.
 func (o *Owner) adopt(r *request) {
@@ -48,7 +52,11 @@
 		return true
 	}
 	if r.out {
-		r.keep(in)
+		if len(r.earlyNotes) < maxEarlyNotes {
+			r.earlyNotes = append(r.earlyNotes, in)
+		} else {
+			o.Stats.NotesLost.Add(1)
+		}
 		return false
 	}
 	if n.Kind == control.NoteRung && n.Value >= 0 && n.Value < 1<<16 {
@@ -57,19 +65,15 @@
 	return true
 }
 
-func (r *request) keep(in input) {
-	if len(r.early) < maxEarly {
-		r.early = append(r.early, in)
-	}
-}
-
 // serverEnded closes a session that its server ended; it is not released there any more.
 func (o *Owner) serverEnded(in input) {
 	r := o.open[in.id]
 	switch {
 	case r == nil || r.server != in.server:
 	case r.out:
-		r.keep(in)
+		if r.earlyEnd == nil {
+			r.earlyEnd = &in
+		}
 	case r.playing:
 		o.endSession(r, in.result.Outcome, in.result.Load)
 	}
@@ -102,8 +106,8 @@
 	}
 	r.out = false
 	r.cancel(nil)
-	early := r.early
-	r.early = nil
+	earlyNotes, earlyEnd := r.earlyNotes, r.earlyEnd
+	r.earlyNotes, r.earlyEnd = nil, nil
 	e := control.Ended{ID: r.ID, Server: in.server, Attempt: in.attempt, Outcome: in.result.Outcome, Took: in.took,
 		Load: in.result.Load, Final: r.answered || r.gone}
 	if e.Outcome == control.Served && !e.Final {
@@ -111,8 +115,11 @@
 		o.tell(control.Started{ID: r.ID, Server: in.server, Attempt: in.attempt, Took: in.took})
 		o.noteSetUp(r, in)
 		o.answer(r, Answer{Kind: Plays, Server: in.server, Rung: r.rung, Attempt: in.attempt, Setup: in.result.Setup})
-		for _, in := range early {
-			o.take(in)
+		for _, note := range earlyNotes {
+			o.take(note)
+		}
+		if earlyEnd != nil {
+			o.take(*earlyEnd)
 		}
 		return
 	}
