--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,86 +153,33 @@
 		}
 	}
 	n.start(func() { n.follow.Run(inner) })
-	n.start(func() { n.pool.keepUp(inner) })
-	n.start(func() { n.viewers.keepNotices(inner) })
+	n.start(func() { every(inner, watchInterval, func() { n.pool.watch(inner) }) })
+	n.start(func() { every(inner, noticeExpiryInterval, n.viewers.expireNotices) })
 	n.start(func() { n.reloads(inner, hangup) })
 	if log := n.Log; log.Enabled(inner, slog.LevelDebug) {
-		n.start(func() { n.compare(inner) })
+		n.start(func() { every(inner, compareInterval, n.compare) })
 	}
 	listening := make(chan struct{})
 	n.start(func() { defer close(listening); n.viewers.serve(l) })
 	n.Log.Info("ready", "name", n.Config.Name, "listen", n.Config.Listen)
 	<-term.Done()
 	n.leave()
-	n.viewers.leaving.Store(true)
-	n.viewers.stopListening(l)
-	n.owner.FinishRequests()
-	within(backlogTimeout, func() bool { return isClosed(listening) })
-	_ = l.Close()
-	<-listening
-	// Servers first: what they have said is passed on, what they say from now on they keep for the next instance. With the
-	// owner stopped first, releases that came in the last moments were heard and told nobody (seen: 35 sessions in 279 restarts).
-	n.pool.closeEverything()
-	stop()
-	<-ownerOver
-	n.viewers.closeAll()
-	n.work.Wait()
-	n.Log.Info("ended", "sessions", n.owner.Stats.Open.Load(), "near", &n.near)
+	n.shutDown(l, listening, stop, ownerOver)
 	return nil
 }
 
-func isClosed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
-
-// leave ends a front node's service. What still arrives is served, and sessions play on: they end with the node
-// that holds them. It goes shortly before it may be killed, and then only what is not answered by its deadline fails.
-func (n *Node) leave() {
-	n.Log.Info("leaving")
-	time.Sleep(n.staysFor())
-}
-
-// staysFor is how long after SIGTERM the node stays: most of what arrives has its deadline by then, and the earliest
-// kill is not near. Where all deadlines are short it stays until the last requests have come: one that found nobody
-// listening would be lost.
-func (n *Node) staysFor() time.Duration {
-	return max(n.Arriving+n.longest()-killMargin, n.Arriving-afterLastArrival)
-}
-
-// longest is the longest deadline of a class.
-func (n *Node) longest() (d time.Duration) {
-	for _, k := range n.Config.Set.Classes {
-		d = max(d, k.Deadline)
-	}
-	return min(d, 3*time.Second)
-}
-
 const compareInterval = 2 * time.Second
 
 // compare logs where the module's count of own sessions at a server is not that on the sockets. For a moment
 // they may differ, while a set-up is out or a release on its way.
-func (n *Node) compare(ctx context.Context) {
-	tick := time.NewTicker(compareInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		n.owner.Inspect(func() {
-			for id, b := range n.pool.believed(n.module.Own) {
-				if b.module != b.sockets {
-					n.Log.Debug("belief", "server", id, "module", b.module, "sockets", b.sockets)
-				}
+func (n *Node) compare() {
+	n.owner.Inspect(func() {
+		for id, b := range n.pool.believed(n.module.Own) {
+			if b.module != b.sockets {
+				n.Log.Debug("belief", "server", id, "module", b.module, "sockets", b.sockets)
 			}
-		})
-	}
+		}
+	})
 }
 
 // reloads takes a new coordinator's address at SIGHUP. A file that cannot be read changes nothing.
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"strconv"
 	"time"
 
@@ -154,17 +153,3 @@
 		v.dropEmptyNotices(address)
 	}
 }
-
-// keepNotices expires notices until ctx ends.
-func (v *viewers) keepNotices(ctx context.Context) {
-	tick := time.NewTicker(noticeExpiryInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			v.expireNotices()
-		}
-	}
-}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -17,12 +17,12 @@
 	checkTimeout  = 1200 * time.Millisecond // a handshake that got lost is sent again after a second (RFC 6298)
 )
 
-// keepUp holds one connection to each server with sessions and asks the failure detectors, until ctx ends.
-func (p *pool) keepUp(ctx context.Context) {
-	tick := time.NewTicker(watchInterval)
+// every calls do at once and then at each interval, until ctx ends.
+func every(ctx context.Context, interval time.Duration, do func()) {
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for {
-		p.watch(ctx)
+		do()
 		select {
 		case <-ctx.Done():
 			return
@@ -31,7 +31,7 @@
 	}
 }
 
-// watch looks at all servers once. Those that need a connection get one in the order in which they lost their last.
+// watch holds one connection to each server with sessions: it looks at all servers once. Those that need a connection get one in the order in which they lost their last.
 func (p *pool) watch(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
