--- a/internal/cli/programs.go
+++ b/internal/cli/programs.go
@@ -119,7 +119,7 @@
 	Config   string `help:"File that holds the configuration." env:"NODE_CONFIG"`
 	Listen   string `help:"Address for viewers; by default the configuration's." env:"NODE_LISTEN"`
 	Name     string `help:"Name of this front node; by default the configuration's." env:"NODE_NAME"`
-	LogLevel string `help:"Least level that is logged: debug, info, warn or error." default:"warn" enum:"debug,info,warn,error" env:"NODE_LOG_LEVEL"`
+	LogLevel string `help:"Least level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error" env:"NODE_LOG_LEVEL"`
 }
 
 // Run serves until a signal comes.
--- a/internal/core/act.go
+++ b/internal/core/act.go
@@ -18,11 +18,11 @@
 			o.setRung(a)
 		case control.Refuse:
 			if r := o.awaiting(a.ID, "refuse"); r != nil {
-				o.answer(r, Answer{Kind: Refused, After: a.After})
+				o.answer(r, Answer{Kind: Refused, After: a.After}, byModule)
 			}
 		case control.Fail:
 			if r := o.awaiting(a.ID, "fail"); r != nil {
-				o.answer(r, Answer{Kind: Failed})
+				o.answer(r, Answer{Kind: Failed}, byModule)
 			}
 		case control.Cancel:
 			if r := o.open[a.ID]; r != nil && r.out && a.Attempt == r.attempts-1 {
@@ -76,6 +76,7 @@
 		if r != nil {
 			n = r.attempts
 		}
+		o.Log.Info("attempt not sent", "session", a.ID, "server", a.Server, "attempts", n, "over", r == nil || r.answered || r.gone)
 		o.tell(control.Ended{ID: a.ID, Server: a.Server, Attempt: n, Outcome: control.Moot, Final: r == nil || r.answered || r.gone})
 		return
 	}
@@ -124,7 +125,7 @@
 	r.rung = a.Rung
 	if r.playing && changed {
 		r.listener.Rung(a.Rung)
-		o.Log.Info("rung", "session", r.ID, "server", r.server, "rung", a.Rung)
+		o.Log.Debug("rung", "session", r.ID, "server", r.server, "rung", a.Rung)
 		o.Carrier.SetRung(Attempt{ID: r.ID, Server: r.server, Number: r.attempts - 1, Rung: a.Rung, Class: r.Class,
 			Tenant: r.Tenant, Title: r.Title, Viewer: r.Viewer, Listener: r.listener}, a.Rung)
 	}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -17,7 +17,8 @@
 	server   string
 	attempts int
 	rung     int
-	out      bool // an attempt is out
+	out      bool          // an attempt is out
+	taken    time.Duration // when the owner took it
 	cancel   context.CancelCauseFunc
 	sent     time.Duration
 
@@ -38,7 +39,7 @@
 	}
 	o.open[r.ID] = r
 	o.Stats.Open.Add(1)
-	o.Log.Info("session taken over", "session", r.ID, "server", r.server, "rung", r.rung)
+	o.Log.Debug("session taken over", "session", r.ID, "server", r.server, "rung", r.rung)
 	o.tell(r.Request)
 	if r.rung >= 0 {
 		o.tell(control.Note{ID: r.ID, Server: r.server, Kind: control.NoteRung, Value: float64(r.rung)})
@@ -92,6 +93,7 @@
 		return
 	}
 	o.taken++
+	r.taken = o.Now()
 	o.open[r.ID] = r
 	o.Stats.Open.Add(1)
 	o.timers.push(timer{at: r.Due + o.Slack/2, label: r.ID, backstop: true})
@@ -114,7 +116,7 @@
 		r.playing = true
 		o.tell(control.Started{ID: r.ID, Server: in.server, Attempt: in.attempt, Took: in.took})
 		o.noteSetUp(r, in)
-		o.answer(r, Answer{Kind: Plays, Server: in.server, Rung: r.rung, Attempt: in.attempt, Setup: in.result.Setup})
+		o.answer(r, Answer{Kind: Plays, Server: in.server, Rung: r.rung, Attempt: in.attempt, Setup: in.result.Setup}, byServer)
 		for _, note := range earlyNotes {
 			o.take(note)
 		}
@@ -160,6 +162,7 @@
 		o.end(id, control.Cancelled)
 	case !r.gone:
 		r.gone = true
+		o.Log.Info("request withdrawn", "session", r.ID, "server", r.server, "attempts", r.attempts, "out", r.out, "after", o.Now()-r.taken)
 		if !r.out {
 			o.forget(r)
 		}
@@ -196,10 +199,20 @@
 	r.listener.Closed()
 }
 
+// answerSource is who ended a request with its answer, as logs name it.
+type answerSource string
+
+const (
+	byServer   answerSource = "server"   // the set-up stands there
+	byModule   answerSource = "module"   // refused or failed by decision
+	byBackstop answerSource = "backstop" // the module said nothing in time
+	byEnd      answerSource = "end"      // the owner ends
+)
+
 // answer gives a request its one answer.
-func (o *Owner) answer(r *request, a Answer) {
+func (o *Owner) answer(r *request, a Answer, by answerSource) {
 	if r.answered {
-		o.Log.Error("second answer kept back", "session", r.ID, "answer", a.Kind.String())
+		o.Log.Error("second answer kept back", "session", r.ID, "answer", a.Kind.String(), "by", by)
 		return
 	}
 	r.answered = true
@@ -211,10 +224,12 @@
 	case Failed:
 		o.Stats.Failed.Add(1)
 	}
+	r.listener.Answered(a)
 	if o.logsSessions() {
-		o.Log.Info("answer", "session", r.ID, "answer", a.Kind.String(), "server", a.Server, "rung", a.Rung, "attempts", r.attempts)
+		now := o.Now()
+		o.Log.Info("answer", "session", r.ID, "answer", a.Kind.String(), "by", by, "server", a.Server, "rung", a.Rung,
+			"attempts", r.attempts, "out", r.out, "took", now-r.taken, "left", r.Due-now)
 	}
-	r.listener.Answered(a)
 	if a.Kind != Plays && !r.out {
 		o.forget(r)
 	}
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -144,7 +144,7 @@
 			r.cancel(errCancelled)
 		}
 		if !r.answered && !r.gone {
-			o.answer(r, Answer{Kind: Failed})
+			o.answer(r, Answer{Kind: Failed}, byEnd)
 		}
 	}
 	o.taking.Lock()
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -78,7 +78,7 @@
 		if r := o.open[t.label]; r != nil && !r.answered && !r.gone {
 			o.Stats.Overdue.Add(1)
 			o.Log.Error("answer overdue", "session", r.ID)
-			o.answer(r, Answer{Kind: Failed})
+			o.answer(r, Answer{Kind: Failed}, byBackstop)
 			if r.out {
 				r.cancel(errCancelled)
 			}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -32,7 +32,7 @@
 	for {
 		l, err := p.take(ctx, s)
 		if err != nil {
-			p.n.Log.Debug("no connection", "session", a.ID, "server", a.Server, "error", err)
+			p.n.Log.Info("no connection", "session", a.ID, "server", a.Server, "error", err)
 			return core.Result{Outcome: notConnected(ctx, err)}
 		}
 		rested := l.used > 0
@@ -41,6 +41,7 @@
 		}
 		switch p.admit(ctx, l, a.ID, v) {
 		case notWanted:
+			p.n.Log.Info("attempt not sent", "session", a.ID, "server", a.Server, "attempt", a.Number, "withdrawn", v.withdrawn(), "left", p.n.patience(ctx))
 			p.free(l)
 			return core.Result{Outcome: control.Moot}
 		case connectionOver:
--- a/internal/node/eviction.go
+++ b/internal/node/eviction.go
@@ -11,7 +11,7 @@
 		return false
 	}
 	v.n.near.viewersClosed.Add(1)
-	least.close()
+	least.close(closedForRoom)
 	return true
 }
 
--- a/internal/node/nearmiss.go
+++ b/internal/node/nearmiss.go
@@ -8,27 +8,62 @@
 // nearMisses counts what came close to a request or a release that is lost or late. All of them are zero on a day on
 // which nothing was short.
 type nearMisses struct {
-	lateAnswers     atomic.Int64 // in the last tenth of their time, or after it
-	viewersClosed   atomic.Int64 // connections closed to make room for others
-	placesMissing   atomic.Int64 // set-ups without a descriptor for their connection
-	checksDeferred  atomic.Int64 // looks at a server with sessions that had to wait for a descriptor
-	noticesResent   atomic.Int64 // to viewers, as their connection ended before they were confirmed
-	noticesLate     atomic.Int64 // sent more than a second after the end of their session
-	noticesExpired  atomic.Int64 // never sent
-	releasesExpired atomic.Int64 // to servers, never sent
-	endsDropped     atomic.Int64 // of sessions that were not known yet
+	answersUnsent    atomic.Int64 // their connection was over, and no viewer was known to have left
+	closedUnanswered atomic.Int64 // requests open on connections that this side closed
+	viewersRefused   atomic.Int64 // connections accepted and closed unread
+	lateAnswers      atomic.Int64 // in the last tenth of their time, or after it
+	viewersClosed    atomic.Int64 // connections closed to make room for others
+	placesMissing    atomic.Int64 // set-ups without a descriptor for their connection
+	checksDeferred   atomic.Int64 // looks at a server with sessions that had to wait for a descriptor
+	noticesResent    atomic.Int64 // to viewers, as their connection ended before they were confirmed
+	noticesLate      atomic.Int64 // sent more than a second after the end of their session
+	noticesExpired   atomic.Int64 // never sent
+	releasesExpired  atomic.Int64 // to servers, never sent
+	endsDropped      atomic.Int64 // of sessions that were not known yet
+	localErrors      atomic.Int64 // of system calls, that say nothing of a peer
+	pauses           atomic.Int64 // of the whole process
+	clockSteps       atomic.Int64 // of the wall clock
+}
+
+// nearMissCounter is one counter and its name in logs.
+type nearMissCounter struct {
+	name  string
+	count *atomic.Int64
+}
+
+func (m *nearMisses) counters() []nearMissCounter {
+	return []nearMissCounter{
+		{"answers_unsent", &m.answersUnsent},
+		{"closed_unanswered", &m.closedUnanswered},
+		{"viewers_refused", &m.viewersRefused},
+		{"late_answers", &m.lateAnswers},
+		{"viewers_closed", &m.viewersClosed},
+		{"places_missing", &m.placesMissing},
+		{"checks_deferred", &m.checksDeferred},
+		{"notices_resent", &m.noticesResent},
+		{"notices_late", &m.noticesLate},
+		{"notices_expired", &m.noticesExpired},
+		{"releases_expired", &m.releasesExpired},
+		{"ends_dropped", &m.endsDropped},
+		{"local_errors", &m.localErrors},
+		{"pauses", &m.pauses},
+		{"clock_steps", &m.clockSteps},
+	}
 }
 
 // LogValue lists the counters.
 func (m *nearMisses) LogValue() slog.Value {
-	return slog.GroupValue(
-		slog.Int64("late_answers", m.lateAnswers.Load()),
-		slog.Int64("viewers_closed", m.viewersClosed.Load()),
-		slog.Int64("places_missing", m.placesMissing.Load()),
-		slog.Int64("checks_deferred", m.checksDeferred.Load()),
-		slog.Int64("notices_resent", m.noticesResent.Load()),
-		slog.Int64("notices_late", m.noticesLate.Load()),
-		slog.Int64("notices_expired", m.noticesExpired.Load()),
-		slog.Int64("releases_expired", m.releasesExpired.Load()),
-		slog.Int64("ends_dropped", m.endsDropped.Load()))
+	var values []slog.Attr
+	for _, c := range m.counters() {
+		values = append(values, slog.Int64(c.name, c.count.Load()))
+	}
+	return slog.GroupValue(values...)
+}
+
+// sum changes with every near miss.
+func (m *nearMisses) sum() (sum int64) {
+	for _, c := range m.counters() {
+		sum += c.count.Load()
+	}
+	return sum
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,6 +154,7 @@
 	}
 	n.start(func() { n.follow.Run(inner) })
 	n.start(func() { every(inner, watchInterval, func() { n.pool.watch(inner) }) })
+	n.start(func() { n.watchClocks(inner) })
 	n.start(func() { every(inner, noticeExpiryInterval, n.viewers.expireNotices) })
 	n.start(func() { n.reloads(inner, hangup) })
 	if log := n.Log; log.Enabled(inner, slog.LevelDebug) {
@@ -168,6 +169,31 @@
 	return nil
 }
 
+// watchClocks logs pauses of the process and steps of the wall clock, and now and then what came close to a loss: a node
+// that is killed writes no last line.
+func (n *Node) watchClocks(ctx context.Context) {
+	w := clockWatch{interval: watchInterval}
+	told, looks := n.near.sum(), 0
+	every(ctx, watchInterval, func() {
+		pause, step := w.look(time.Now())
+		if pause > 0 {
+			n.near.pauses.Add(1)
+			n.Log.Warn("process paused", "for", pause)
+		}
+		if step != 0 {
+			n.near.clockSteps.Add(1)
+			n.Log.Warn("wall clock stepped", "by", step)
+		}
+		if looks++; looks%nearMissLooks == 0 && n.near.sum() != told {
+			told = n.near.sum()
+			n.Log.Info("near misses so far", "near", &n.near)
+		}
+	})
+}
+
+// nearMissLooks is after how many looks at the clocks new near misses are logged: every 2 s.
+const nearMissLooks = 10
+
 const compareInterval = 2 * time.Second
 
 // compare logs where the module's count of own sessions at a server is not that on the sockets. For a moment
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -48,11 +48,15 @@
 	c, left := s.conn, s.left
 	s.mu.Unlock()
 	defer c.answered(s) // until the answer is in the outbox the connection waits for it, and is not closed for another
-	if s.n.now() > s.due-s.timer/lateShare {
+	switch late := s.n.now() - s.due; {
+	case late > 0:
+		s.n.near.lateAnswers.Add(1)
+		s.n.Log.Warn("answer after its time", "session", s.id, "late", late, "answer", a.Kind.String(), "viewer left", left)
+	case late > -s.timer/lateShare:
 		s.n.near.lateAnswers.Add(1)
 	}
 	if left {
-		s.n.Log.Debug("answer not told: the viewer has left", "session", s.id)
+		s.n.Log.Info("answer not sent: the viewer has left", "session", s.id, "answer", a.Kind.String())
 		if a.Kind == core.Plays {
 			s.n.owner.Leave(s.id)
 		}
@@ -65,7 +69,8 @@
 		return rtsp.AppendResponse(b, status, []string{"CSeq", s.cseq, "Session", s.id, "X-Pause", after}, body)
 	})
 	if !told {
-		s.n.Log.Debug("answer not told: the connection is over", "session", s.id)
+		s.n.near.answersUnsent.Add(1)
+		s.n.Log.Warn("answer not sent: its connection is over", "session", s.id, "answer", a.Kind.String(), "connection", uint64(c.id))
 	}
 	if !told && a.Kind == core.Plays {
 		s.n.owner.Leave(s.id)
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -42,7 +42,7 @@
 )
 
 // close ends a connection at once; the viewers of set-ups on it have gone.
-func (c *viewer) close() {
+func (c *viewer) close(why closeReason) {
 	c.mu.Lock()
 	if c.over {
 		c.mu.Unlock()
@@ -65,16 +65,39 @@
 	delete(v.all, c)
 	v.resendNotices(c)
 	v.mu.Unlock()
+	c.logClose(why, gone)
 	for _, s := range gone {
-		c.n.Log.Debug("viewer gone with its connection", "session", s.id, "from", c.conn.RemoteAddr())
 		c.n.owner.Leave(s.id)
 	}
 }
 
+// logClose tells why a connection ended, and which requests got no answer by it. Where this side ended it, they are
+// lost.
+func (c *viewer) logClose(why closeReason, unanswered []*session) {
+	level := slog.LevelDebug
+	switch {
+	case len(unanswered) > 0 && why.byThisNode():
+		level = slog.LevelWarn
+		c.n.near.closedUnanswered.Add(int64(len(unanswered)))
+	case len(unanswered) > 0 || why == closedForRoom:
+		level = slog.LevelInfo
+	}
+	if !c.n.Log.Enabled(context.Background(), level) {
+		return
+	}
+	ids := make([]string, 0, len(unanswered))
+	for _, s := range unanswered {
+		ids = append(ids, s.id)
+	}
+	c.n.Log.Log(context.Background(), level, "viewer connection over", "why", string(why), "connection", uint64(c.id), "from", c.from,
+		"age", time.Since(c.at), "unanswered", ids)
+}
+
 // refuse answers what cannot be read on, and closes: the writing half at once, the rest after what the peer still
 // sends has been read for a bounded time. Closing with unread bytes would reset the connection and could destroy
 // the answer on its way.
 func (c *viewer) refuse(status int, cseq, id string) {
+	c.n.Log.Info("message refused", "status", status, "connection", uint64(c.id), "from", c.from, "waiting", c.waiting())
 	c.out.put(func(b []byte) []byte {
 		return rtsp.AppendResponse(b, status, []string{"CSeq", cseq, "Session", id}, nil)
 	})
@@ -84,13 +107,15 @@
 }
 
 // read takes what a viewer says until the connection ends.
-func (c *viewer) read() {
-	defer c.close()
+func (c *viewer) read() { c.close(c.readMessages()) }
+
+// readMessages takes messages and returns why there are no more.
+func (c *viewer) readMessages() closeReason {
 	d := rtsp.NewReader(bufio.NewReaderSize(c.conn, 4<<10))
 	_ = c.conn.SetReadDeadline(c.at.Add(firstMessageTimeout))
 	for {
 		if err := d.Wait(); err != nil {
-			return
+			return readEnd(err)
 		}
 		if c.spoke {
 			_ = c.conn.SetReadDeadline(time.Now().Add(messageTimeout))
@@ -100,12 +125,12 @@
 		switch {
 		case errors.As(err, &wrong):
 			c.refuse(wrong.Status, "", "")
-			return
+			return closedUnreadable
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.refuse(408, "", "")
-			return
+			return closedStalled
 		case err != nil:
-			return
+			return readEnd(err)
 		}
 		_ = c.conn.SetReadDeadline(time.Time{})
 		c.mu.Lock()
@@ -148,19 +173,25 @@
 func (c *viewer) setUp(m *rtsp.Message) {
 	r, s, wrong := c.n.readSetUp(m)
 	if s == nil {
-		c.n.Log.Debug("set-up refused", "wrong", wrong)
+		c.n.Log.Info("set-up refused", "session", m.Get("Session"), "status", 400, "why", wrong, "connection", uint64(c.id))
 		c.reply(m, 400)
 		return
 	}
 	s.conn = c
-	if c.n.Log.Enabled(context.Background(), slog.LevelDebug) {
-		c.n.Log.Debug("request", "session", s.id, "timer", s.timer, "from", c.conn.RemoteAddr().String(), "adopted", s.adopted)
+	level := slog.LevelInfo
+	if s.adopted {
+		level = slog.LevelDebug
+	}
+	if c.n.Log.Enabled(context.Background(), level) {
+		c.n.Log.Log(context.Background(), level, "request", "session", s.id, "class", s.className, "timer", s.timer,
+			"connection", uint64(c.id), "from", c.conn.RemoteAddr().String(), "repeat", r.Repeat, "adopted", s.adopted)
 	}
 	if s.adopted {
 		c.n.adopt(r, s)
 		return
 	}
 	if !c.n.begin(s) {
+		c.n.Log.Info("set-up refused", "session", s.id, "status", 400, "why", "id is open", "connection", uint64(c.id))
 		c.out.put(func(b []byte) []byte {
 			return rtsp.AppendResponse(b, 400, []string{"CSeq", s.cseq}, nil)
 		})
@@ -172,13 +203,21 @@
 		c.open[s.id] = s
 	}
 	c.mu.Unlock()
-	if full || c.n.viewers.leaving.Load() || !c.n.owner.Request(r, s) {
+	if leaving := c.n.viewers.leaving.Load(); full || leaving || !c.n.owner.Request(r, s) {
+		c.n.Log.Info("set-up refused", "session", s.id, "status", 503, "waiting", c.waiting(), "leaving", leaving, "connection", uint64(c.id))
 		c.n.forget(s)
 		c.reply(m, 503)
 		c.answered(s)
 	}
 }
 
+// waiting is the number of set-ups that wait for their answer.
+func (c *viewer) waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
 // answered takes a set-up off the connection.
 func (c *viewer) answered(s *session) {
 	c.mu.Lock()
@@ -205,7 +244,7 @@
 	on := s.conn
 	s.mu.Unlock()
 	on.answered(s)
-	c.n.Log.Debug("viewer ends", "session", s.id)
+	c.n.Log.Debug("viewer ends", "session", s.id, "connection", uint64(c.id))
 	c.n.owner.Leave(s.id)
 	c.reply(m, 200)
 }
--- a/internal/node/viewers.go
+++ b/internal/node/viewers.go
@@ -52,7 +52,7 @@
 			_ = setDeadline(l, backlogQuiet)
 			continue
 		case err != nil: // the peer has gone already, or no descriptor is left: then one is freed, or waited for
-			v.n.Log.Debug("accept", "error", err)
+			v.n.Log.Info("connection not accepted", "error", err)
 			if noDescriptor(err) {
 				v.evict(time.Now())
 			}
@@ -89,18 +89,18 @@
 	now := time.Now()
 	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
 	c := &viewer{n: v.n, conn: conn, from: host, at: now, used: now, open: map[string]*session{}}
-	c.out.conn, c.out.fail = conn, c.close
+	c.out.conn, c.out.fail = conn, func() { c.close(closedUnwritable) }
 	v.mu.Lock()
 	if v.over {
 		v.mu.Unlock()
-		_ = conn.Close()
+		c.refuseConnection(closedAtNodeEnd)
 		return
 	}
 	full := len(v.all) >= v.maxConnections
 	v.mu.Unlock()
 	if full {
 		if !v.evict(now) {
-			_ = conn.Close()
+			c.refuseConnection(closedNotAccepted)
 			return
 		}
 	}
@@ -132,10 +132,17 @@
 		return len(v.all) == 0
 	})
 	for _, c := range all {
-		c.close()
+		c.close(closedAtNodeEnd)
 	}
 }
 
+// refuseConnection closes a connection that was accepted and will not be served.
+func (c *viewer) refuseConnection(why closeReason) {
+	c.n.near.viewersRefused.Add(1)
+	c.n.Log.Warn("viewer connection not served", "why", string(why), "from", c.conn.RemoteAddr().String())
+	_ = c.conn.Close()
+}
+
 // within waits until something holds, for a time at most.
 func within(most time.Duration, holds func() bool) {
 	for deadline := time.Now().Add(most); time.Now().Before(deadline) && !holds(); {
