What was accepted stays owed: a viewer's connection drains before it ends, deadlines count real looks

Read deadlines are followed by one more look at the socket's buffer, and by another where the process was late to notice (timedreader.go), so a pause closes nothing whose bytes have come. A set-up sent again under its id is answered, one that another connection tears down too, each once (claimAnswer). Errno are judged in one table (internal/socketerror).

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -41,7 +41,7 @@
 		}
 		switch p.admit(ctx, l, a.ID, v) {
 		case notWanted:
-			p.n.Log.Info("attempt not sent", "session", a.ID, "server", a.Server, "attempt", a.Number, "withdrawn", v.withdrawn(), "left", p.n.patience(ctx))
+			p.n.Log.Info("attempt not sent", "session", a.ID, "server", a.Server, "attempt", a.Number, "wanted", v.mayBegin(), "left", p.n.patience(ctx))
 			p.free(l)
 			return core.Result{Outcome: control.Moot}
 		case connectionOver:
@@ -68,7 +68,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
-	case ctx.Err() != nil || p.n.patience(ctx) <= 0 || l.s.state != control.Ready || v.withdrawn():
+	case ctx.Err() != nil || p.n.patience(ctx) <= 0 || l.s.state != control.Ready || !v.mayBegin():
 		return notWanted
 	case l.gone:
 		return connectionOver
--- a/internal/node/eviction.go
+++ b/internal/node/eviction.go
@@ -35,6 +35,7 @@
 	silentConnection evictionRank = iota // has said nothing for longer than a request needs to follow its connection
 	unusedConnection
 	youngConnection
+	begunConnection   // a message has begun
 	sessionConnection // with sessions that stand: they are tied to no connection, their end is told on another
 	waitingConnection // for an answer, or an answer or a notice is still to be written
 )
@@ -46,6 +47,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case c.begun && len(c.open) == 0:
+		return begunConnection, c.used
 	case !c.spoke && now.Sub(c.at) < youngTime:
 		return youngConnection, c.used
 	case !c.spoke:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -226,15 +226,15 @@
 	}
 }
 
-// begin enters a set-up; false if its id is open.
-func (n *Node) begin(s *session) bool {
+// begin enters a set-up, or returns the one that is open under its id.
+func (n *Node) begin(s *session) (open *session) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.sessions[s.id] != nil {
-		return false
+	if open = n.sessions[s.id]; open != nil {
+		return open
 	}
 	n.sessions[s.id] = s
-	return true
+	return nil
 }
 
 func (n *Node) find(id string) *session {
@@ -253,7 +253,7 @@
 
 // adopt takes over a session that plays already; one that is held stays as it is.
 func (n *Node) adopt(r control.Request, s *session) {
-	if !n.begin(s) {
+	if n.begin(s) != nil {
 		return
 	}
 	end, over := n.pool.adopt(r.ID, r.Server)
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -27,8 +27,10 @@
 	due            time.Duration
 
 	mu   sync.Mutex
-	conn *viewer // that the set-up came on
-	left bool    // the viewer ended it
+	conn *viewer       // that the set-up came on
+	left bool          // the viewer ended it
+	held time.Duration // the viewer may have gone: from then on no attempt begins, but an answer is owed; 0: not held
+	said bool          // the one final answer was given
 }
 
 // Answered passes on the one answer. A viewer that cannot be told has left.
@@ -55,7 +57,7 @@
 	case late > -s.timer/lateShare:
 		s.n.near.lateAnswers.Add(1)
 	}
-	if left {
+	if left || !s.claimAnswer() {
 		s.n.Log.Info("answer not sent: the viewer has left", "session", s.id, "answer", a.Kind.String())
 		if a.Kind == core.Plays {
 			s.n.owner.Leave(s.id)
@@ -65,9 +67,7 @@
 	if a.Kind == core.Plays {
 		c.stand(1)
 	}
-	told := c.out.put(func(b []byte) []byte {
-		return rtsp.AppendResponse(b, status, []string{"CSeq", s.cseq, "Session", s.id, "X-Pause", after}, body)
-	})
+	told := c.out.put(s.appendAnswer(status, after, body))
 	if !told {
 		s.n.near.answersUnsent.Add(1)
 		s.n.Log.Warn("answer not sent: its connection is over", "session", s.id, "answer", a.Kind.String(), "connection", uint64(c.id))
@@ -102,6 +102,13 @@
 	s.mu.Unlock()
 }
 
+// holdFrom has no attempt begin any more from a time on: its viewer may have gone.
+func (s *session) holdFrom(at time.Duration) {
+	s.mu.Lock()
+	s.held = at
+	s.mu.Unlock()
+}
+
 // withdrawn tells whether the viewer ended it.
 func (s *session) withdrawn() bool {
 	s.mu.Lock()
@@ -109,6 +116,29 @@
 	return s.left
 }
 
+// mayBegin tells whether an attempt may begin for it.
+func (s *session) mayBegin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.left && (s.held == 0 || s.n.now() < s.held)
+}
+
+// claimAnswer is true for the first caller: it gives the final answer.
+func (s *session) claimAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := !s.said
+	s.said = true
+	return first
+}
+
+// appendAnswer appends an answer to its set-up.
+func (s *session) appendAnswer(status int, after string, body []byte) func([]byte) []byte {
+	return func(b []byte) []byte {
+		return rtsp.AppendResponse(b, status, []string{"CSeq", s.cseq, "Session", s.id, "X-Pause", after}, body)
+	}
+}
+
 // attrs appends the fields of its set-up at a server.
 func (s *session) attrs(to []string, left time.Duration, rung int) []string {
 	to = append(to, "class", s.className, "key", s.key, "left", strconv.FormatInt(left.Milliseconds(), 10), "rung", rungAttr(rung))
--- /dev/null
+++ b/internal/node/timedreader.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"rainpulley/internal/socketerror"
+)
+
+// timedReader reads from a connection until a deadline that only counts while the process runs. Where the process stood
+// still, bytes may have come in time and wait in the socket's buffer although the deadline has passed: they are read
+// before the time-out is told. Errors of this machine that pass by themselves are not told either.
+type timedReader struct {
+	conn net.Conn
+
+	mu       sync.Mutex
+	deadline time.Time // zero: none
+	grace    bool      // the deadline has passed, and a last look is under way
+}
+
+const (
+	// lateLook is how long a reader looks on behind its deadline for what was there already.
+	lateLook = 50 * time.Millisecond
+	// promptExpiry is how late a reader that ran all the time hears of its deadline at most.
+	promptExpiry = 50 * time.Millisecond
+	// retryPause is the time between two tries of a call that this machine could not make.
+	retryPause = 5 * time.Millisecond
+	// maxLocalTrouble is how long a call is tried again.
+	maxLocalTrouble = 3 * time.Second
+)
+
+// setDeadline bounds reads from now on; zero: no bound. It may be called while a read waits.
+func (r *timedReader) setDeadline(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.deadline, r.grace = at, false
+	_ = r.conn.SetReadDeadline(at)
+}
+
+// Read implements io.Reader.
+func (r *timedReader) Read(b []byte) (int, error) {
+	var troubleSince time.Time
+	for {
+		n, err := r.conn.Read(b)
+		if n > 0 || err == nil {
+			return n, nil
+		}
+		switch socketerror.Judge(err, socketerror.Transfer) {
+		case socketerror.DeadlineExceeded:
+			if !r.lookAgain(time.Now()) {
+				return 0, err
+			}
+		case socketerror.LocalMoment, socketerror.LocalDescriptors:
+			if troubleSince.IsZero() {
+				troubleSince = time.Now()
+			}
+			if time.Since(troubleSince) > maxLocalTrouble {
+				return 0, err
+			}
+			time.Sleep(retryPause)
+		default:
+			return 0, err
+		}
+	}
+}
+
+// lookAgain gives a read whose deadline has passed one more short look, and another one where the process was late to
+// notice the end of it. It tells whether to read on.
+func (r *timedReader) lookAgain(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.deadline.IsZero() || now.Before(r.deadline) { // the deadline was moved while the read failed
+		return true
+	}
+	if r.grace && now.Sub(r.deadline) < promptExpiry {
+		return false
+	}
+	r.deadline, r.grace = now.Add(lateLook), true
+	_ = r.conn.SetReadDeadline(r.deadline)
+	return true
+}
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -4,15 +4,14 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"time"
 
 	"rainpulley/internal/delivery"
 	"rainpulley/internal/rtsp"
+	"rainpulley/internal/socketerror"
 )
 
 // viewer is one connection of a viewer, or of many: sessions share it.
@@ -20,17 +19,34 @@
 	n    *Node
 	id   delivery.ConnectionID
 	conn net.Conn
+	in   timedReader
 	out  outbox
 	from string // address without port
 	at   time.Time
 
-	mu     sync.Mutex
-	spoke  bool                // a whole message came
-	busy   bool                // a message is being handled
-	used   time.Time           // of the last message
-	open   map[string]*session // set-ups that wait for their answer
-	stands int                 // sessions that began here and stand
-	over   bool
+	mu       sync.Mutex
+	spoke    bool                // a whole message came
+	begun    bool                // a message has begun and is not whole yet
+	busy     bool                // a message is being handled
+	used     time.Time           // of the last message
+	open     map[string]*session // set-ups that wait for their answer
+	stands   int                 // sessions that began here and stand
+	draining bool                // no message is taken any more; the connection ends when the last open set-up is answered
+	halfOpen bool                // the viewer has shut down its writing half
+	over     bool
+
+	drained chan struct{} // closed when the connection drains and no set-up is open
+	ended   chan struct{} // closed when it is over
+}
+
+// newViewer returns a connection that nothing was read on yet.
+func newViewer(n *Node, conn net.Conn, now time.Time) *viewer {
+	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	c := &viewer{n: n, conn: conn, from: host, at: now, used: now, open: map[string]*session{},
+		drained: make(chan struct{}), ended: make(chan struct{})}
+	c.in.conn = conn
+	c.out.conn, c.out.fail = conn, c.writeFailed
+	return c
 }
 
 const (
@@ -41,103 +57,36 @@
 	maxWaiting          = maxQueued               // set-ups of one connection that wait for their answer
 )
 
-// close ends a connection at once; the viewers of set-ups on it have gone.
-func (c *viewer) close(why closeReason) {
-	c.mu.Lock()
-	if c.over {
-		c.mu.Unlock()
-		return
-	}
-	c.over = true
-	gone := make([]*session, 0, len(c.open))
-	for _, s := range c.open {
-		gone = append(gone, s)
-	}
-	clear(c.open)
-	c.mu.Unlock()
-	for _, s := range gone {
-		s.leave() // first of all: an attempt may be about to begin
-	}
-	c.out.stop()
-	_ = c.conn.Close()
-	v := c.n.viewers
-	v.mu.Lock()
-	delete(v.all, c)
-	v.resendNotices(c)
-	v.mu.Unlock()
-	c.logClose(why, gone)
-	for _, s := range gone {
-		c.n.owner.Leave(s.id)
-	}
-}
-
-// logClose tells why a connection ended, and which requests got no answer by it. Where this side ended it, they are
-// lost.
-func (c *viewer) logClose(why closeReason, unanswered []*session) {
-	level := slog.LevelDebug
-	switch {
-	case len(unanswered) > 0 && why.byThisNode():
-		level = slog.LevelWarn
-		c.n.near.closedUnanswered.Add(int64(len(unanswered)))
-	case len(unanswered) > 0 || why == closedForRoom:
-		level = slog.LevelInfo
-	}
-	if !c.n.Log.Enabled(context.Background(), level) {
-		return
-	}
-	ids := make([]string, 0, len(unanswered))
-	for _, s := range unanswered {
-		ids = append(ids, s.id)
-	}
-	c.n.Log.Log(context.Background(), level, "viewer connection over", "why", string(why), "connection", uint64(c.id), "from", c.from,
-		"age", time.Since(c.at), "unanswered", ids)
-}
-
-// refuse answers what cannot be read on, and closes: the writing half at once, the rest after what the peer still
-// sends has been read for a bounded time. Closing with unread bytes would reset the connection and could destroy
-// the answer on its way.
-func (c *viewer) refuse(status int, cseq, id string) {
-	c.n.Log.Info("message refused", "status", status, "connection", uint64(c.id), "from", c.from, "waiting", c.waiting())
-	c.out.put(func(b []byte) []byte {
-		return rtsp.AppendResponse(b, status, []string{"CSeq", cseq, "Session", id}, nil)
-	})
-	c.out.finish()
-	_ = c.conn.SetReadDeadline(time.Now().Add(discardTimeout))
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.conn, maxDiscarded))
-}
-
 // read takes what a viewer says until the connection ends.
-func (c *viewer) read() { c.close(c.readMessages()) }
+func (c *viewer) read() {
+	why := c.readMessages()
+	c.drain(why)
+	c.close(why)
+}
 
 // readMessages takes messages and returns why there are no more.
 func (c *viewer) readMessages() closeReason {
-	d := rtsp.NewReader(bufio.NewReaderSize(c.conn, 4<<10))
-	_ = c.conn.SetReadDeadline(c.at.Add(firstMessageTimeout))
+	d := rtsp.NewReader(bufio.NewReaderSize(&c.in, 4<<10))
+	c.in.setDeadline(c.at.Add(firstMessageTimeout))
 	for {
 		if err := d.Wait(); err != nil {
 			return readEnd(err)
 		}
-		if c.spoke {
-			_ = c.conn.SetReadDeadline(time.Now().Add(messageTimeout))
-		}
+		c.messageBegins()
 		m, err := d.Next()
 		var wrong *rtsp.Error
 		switch {
 		case errors.As(err, &wrong):
-			c.refuse(wrong.Status, "", "")
+			c.refuse(wrong.Status)
 			return closedUnreadable
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			c.refuse(408, "", "")
+		case socketerror.Judge(err, socketerror.Transfer) == socketerror.DeadlineExceeded:
+			c.refuse(408)
 			return closedStalled
 		case err != nil:
 			return readEnd(err)
 		}
-		_ = c.conn.SetReadDeadline(time.Time{})
-		c.mu.Lock()
-		first := !c.spoke
-		c.spoke, c.busy, c.used = true, true, time.Now()
-		c.mu.Unlock()
-		if first {
+		c.in.setDeadline(time.Time{})
+		if c.messageRead() {
 			c.n.viewers.firstMessage(c)
 		}
 		c.handle(m)
@@ -147,6 +96,25 @@
 	}
 }
 
+// messageBegins bounds the time for a message whose first byte has come. The first one is bounded already.
+func (c *viewer) messageBegins() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun = true
+	if c.spoke {
+		c.in.setDeadline(time.Now().Add(messageTimeout))
+	}
+}
+
+// messageRead notes that a message is whole and about to be handled. It tells whether it was the first one.
+func (c *viewer) messageRead() (first bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first = !c.spoke
+	c.begun, c.spoke, c.busy, c.used = false, true, true, time.Now()
+	return first
+}
+
 func (c *viewer) handle(m *rtsp.Message) {
 	switch m.Method {
 	case "": // an answer to a notice
@@ -190,11 +158,8 @@
 		c.n.adopt(r, s)
 		return
 	}
-	if !c.n.begin(s) {
-		c.n.Log.Info("set-up refused", "session", s.id, "status", 400, "why", "id is open", "connection", uint64(c.id))
-		c.out.put(func(b []byte) []byte {
-			return rtsp.AppendResponse(b, 400, []string{"CSeq", s.cseq}, nil)
-		})
+	if open := c.n.begin(s); open != nil {
+		c.refuseRepeat(s, open)
 		return
 	}
 	c.mu.Lock()
@@ -211,6 +176,20 @@
 	}
 }
 
+// refuseRepeat answers a set-up under an id that is open. Where the viewer of the open one has left, this is the same
+// set-up, sent again on a new connection as its first one ended: it is owed an answer of its own. Else the refusal names
+// no session, so that it cannot pass for the open one's answer.
+func (c *viewer) refuseRepeat(s, open *session) {
+	status, id := 400, ""
+	if open.withdrawn() {
+		status, id = 503, s.id
+	}
+	c.n.Log.Info("set-up refused", "session", s.id, "status", status, "why", "id is open", "connection", uint64(c.id))
+	c.out.put(func(b []byte) []byte {
+		return rtsp.AppendResponse(b, status, []string{"CSeq", s.cseq, "Session", id}, nil)
+	})
+}
+
 // waiting is the number of set-ups that wait for their answer.
 func (c *viewer) waiting() int {
 	c.mu.Lock()
@@ -218,11 +197,12 @@
 	return len(c.open)
 }
 
-// answered takes a set-up off the connection.
+// answered takes a set-up off the connection, which ends with the last one if it drains.
 func (c *viewer) answered(s *session) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	delete(c.open, s.id)
-	c.mu.Unlock()
+	c.endIfDrained()
 }
 
 // stand counts sessions that began here and stand.
@@ -232,7 +212,8 @@
 	c.mu.Unlock()
 }
 
-// tearDown ends a session, or a set-up that waits, on whatever connection it began.
+// tearDown ends a session, or a set-up that waits, on whatever connection it began. A set-up that waits on another
+// connection is answered there: whoever waits on that one may not know who ended it.
 func (c *viewer) tearDown(m *rtsp.Message) {
 	s := c.n.find(m.Get("Session"))
 	if s == nil {
@@ -243,6 +224,9 @@
 	s.mu.Lock()
 	on := s.conn
 	s.mu.Unlock()
+	if on != c && !s.adopted && s.claimAnswer() {
+		on.out.put(s.appendAnswer(503, "", nil))
+	}
 	on.answered(s)
 	c.n.Log.Debug("viewer ends", "session", s.id, "connection", uint64(c.id))
 	c.n.owner.Leave(s.id)
--- a/internal/node/viewers.go
+++ b/internal/node/viewers.go
@@ -87,9 +87,7 @@
 // and would fail with it (seen on days when viewers hold their connections for good).
 func (v *viewers) take(conn net.Conn) {
 	now := time.Now()
-	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
-	c := &viewer{n: v.n, conn: conn, from: host, at: now, used: now, open: map[string]*session{}}
-	c.out.conn, c.out.fail = conn, func() { c.close(closedUnwritable) }
+	c := newViewer(v.n, conn, now)
 	v.mu.Lock()
 	if v.over {
 		v.mu.Unlock()
@@ -136,13 +134,6 @@
 	}
 }
 
-// refuseConnection closes a connection that was accepted and will not be served.
-func (c *viewer) refuseConnection(why closeReason) {
-	c.n.near.viewersRefused.Add(1)
-	c.n.Log.Warn("viewer connection not served", "why", string(why), "from", c.conn.RemoteAddr().String())
-	_ = c.conn.Close()
-}
-
 // within waits until something holds, for a time at most.
 func within(most time.Duration, holds func() bool) {
 	for deadline := time.Now().Add(most); time.Now().Before(deadline) && !holds(); {
--- a/internal/rtsp/rtsp.go
+++ b/internal/rtsp/rtsp.go
@@ -185,7 +185,7 @@
 }
 
 // reasons are the status codes' phrases (RFC 2326, section 7.1.1).
-var reasons = map[int]string{200: "OK", 400: "Bad Request", 408: "Request Time-out", 413: "Request Entity Too Large",
+var reasons = map[int]string{100: "Continue", 200: "OK", 400: "Bad Request", 408: "Request Time-out", 413: "Request Entity Too Large",
 	453: "Not Enough Bandwidth", 454: "Session Not Found", 500: "Internal Server Error", 501: "Not Implemented",
 	503: "Service Unavailable", 504: "Gateway Time-out"}
 
