--- a/internal/core/order_test.go
+++ b/internal/core/order_test.go
@@ -219,3 +219,68 @@
 		t.Error("the session stands on")
 	}
 }
+
+// TestAnswerAheadOfPlacements: a server's answer comes while the first of many requests is decided on. It is passed on
+// behind that one decision: a viewer whose answer waits for others' placements may leave without it.
+func TestAnswerAheadOfPlacements(t *testing.T) {
+	const rush = 50
+	sent, ready := make(chan struct{}), make(chan struct{})
+	deciding, goOn := make(chan struct{}), make(chan struct{})
+	c := &carrier{t: t, out: map[string]int{}, setUp: func(context.Context, Attempt) Result {
+		close(sent)
+		<-ready
+		return Result{Outcome: control.Served, Setup: "it plays"}
+	}}
+	decided := 0 // on the owner's goroutine
+	o := New(Options{Queue: rush, Log: slog.New(slog.DiscardHandler), Carrier: c, Now: func() time.Duration { return 0 },
+		Decider: scripted(func(_ time.Duration, e control.Event) []control.Action {
+			r, ok := e.(control.Request)
+			switch {
+			case !ok:
+				return nil
+			case r.ID == "x":
+				return []control.Action{control.Send{ID: r.ID, Server: "s"}}
+			}
+			if decided++; decided == 1 {
+				close(deciding)
+				<-goOn
+			}
+			return []control.Action{control.Refuse{ID: r.ID}}
+		})})
+	ctx, stop := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() { o.Run(ctx); close(over) }()
+	defer func() { stop(); <-over }()
+	e := &countingEar{ear: newEar(t), count: &decided}
+	o.Request(control.Request{ID: "x", Due: time.Hour}, e)
+	<-sent
+	held, letGo := make(chan struct{}), make(chan struct{})
+	o.Inspect(func() { close(held); <-letGo })
+	<-held
+	for i := range rush {
+		o.Request(control.Request{ID: strconv.Itoa(i), Due: time.Hour}, newEar(t))
+	}
+	close(letGo)
+	<-deciding
+	close(ready)
+	for len(o.events) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	close(goOn)
+	e.answer()
+	if e.atAnswer != 1 {
+		t.Errorf("the answer was passed on behind %d of %d decisions, want 1", e.atAnswer, rush)
+	}
+}
+
+// countingEar notes what a counter stood at when its request was answered.
+type countingEar struct {
+	*ear
+	count    *int
+	atAnswer int
+}
+
+func (e *countingEar) Answered(a Answer) {
+	e.atAnswer = *e.count
+	e.ear.Answered(a)
+}
