Answers go ahead of placements: one request a step, network in between, written at once

The owner takes no more than one request for a step, looks at ends and answers ahead of the next, and rests 50 us between requests that wait, so that the runtime looks at the network on one processor too. A final answer is written at once where the socket takes it, not by a goroutine that runs behind the step; the writer carries on what is left, through errors of this machine and through pauses.

--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -16,6 +16,7 @@
 	defer clock.Stop()
 	for {
 		clock.Reset(o.untilNext())
+		placing := false
 		select {
 		case <-ctx.Done():
 			o.finish()
@@ -23,26 +24,37 @@
 		case in := <-o.events:
 			o.take(in)
 		case in := <-o.requests:
+			placing = in.what == aRequest
 			o.takeRequest(in)
 		case in := <-o.notes:
 			o.take(in)
 		case <-clock.C:
 		}
-		o.drain()
+		o.drain(placing)
 		o.fire()
 		for len(o.batch) > 0 {
 			b := o.batch
 			o.batch = nil
 			o.step(b)
 		}
+		if len(o.requests) > 0 {
+			time.Sleep(ioTurn)
+		}
 	}
 }
 
+// ioTurn is how long the owner rests between two requests that wait. On one processor the runtime looks at the network
+// only when nothing else can run, or every 10 ms: without a rest, answers of servers would stay in their sockets for as
+// long as a rush of requests takes.
+const ioTurn = 50 * time.Microsecond
+
 // maxBatch bounds how much is told in one step, so that timers keep their time.
 const maxBatch = 256
 
-// drain takes what else waits; ends before requests, so that a decision rests on the latest.
-func (o *Owner) drain() {
+// drain takes what else waits; ends before requests, so that a decision rests on the latest. No more than one request is
+// taken for a step, which decides on it: a placement takes long, and the answer to another request, which may come
+// meanwhile, must not wait for many of them. Placing tells that one was taken already.
+func (o *Owner) drain(placing bool) {
 	for range maxBatch {
 		select {
 		case in := <-o.events:
@@ -50,8 +62,13 @@
 			continue
 		default:
 		}
+		requests := o.requests
+		if placing {
+			requests = nil
+		}
 		select {
-		case in := <-o.requests:
+		case in := <-requests:
+			placing = in.what == aRequest
 			o.takeRequest(in)
 		case in := <-o.notes:
 			o.take(in)
--- a/internal/node/outbox.go
+++ b/internal/node/outbox.go
@@ -3,7 +3,10 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"rainpulley/internal/socketerror"
 )
 
 // outbox is the one writer of a connection. Whoever has something to say appends it and never waits; a
@@ -27,12 +30,29 @@
 
 // put queues what add appends; false if the connection is over.
 func (o *outbox) put(add func([]byte) []byte) bool {
+	return o.queue(add, false)
+}
+
+// putNow does the same, and writes at once what the socket takes without waiting: a final answer must not wait for a
+// goroutine's turn.
+func (o *outbox) putNow(add func([]byte) []byte) bool {
+	return o.queue(add, true)
+}
+
+func (o *outbox) queue(add func([]byte) []byte, now bool) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.dead || o.closing {
 		return false
 	}
 	o.pending = add(o.pending)
+	if now && !o.writing {
+		written := writeAvailable(o.conn, o.pending)
+		o.pending = append(o.pending[:0], o.pending[written:]...)
+		if len(o.pending) == 0 {
+			return true
+		}
+	}
 	if len(o.pending) > maxPending {
 		o.dead = true
 		go o.fail()
@@ -42,6 +62,26 @@
 	return true
 }
 
+// writeAvailable writes what a connection takes without waiting, and returns how many bytes that was. An error is left to
+// the next write, which meets it again.
+func writeAvailable(conn net.Conn, b []byte) (written int) {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Write(func(fd uintptr) bool {
+		if n, err := syscall.Write(int(fd), b); err == nil && n > 0 {
+			written = n
+		}
+		return true // done, whatever came of it
+	})
+	return written
+}
+
 // busy tells that something is still to be written.
 func (o *outbox) busy() bool {
 	o.mu.Lock()
@@ -82,8 +122,7 @@
 		b := o.pending
 		o.pending, o.spare = o.spare[:0], nil
 		o.mu.Unlock()
-		_ = o.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		_, err := o.conn.Write(b)
+		err := writeAll(o.conn, b)
 		o.mu.Lock()
 		if cap(b) <= 32<<10 {
 			o.spare = b[:0]
@@ -96,6 +135,28 @@
 	}
 }
 
+// writeAll writes within a time that only counts while the peer does not read. Errors of this machine that pass by
+// themselves cost the peer nothing: what is left is written when they are over.
+func writeAll(conn net.Conn, b []byte) error {
+	defer func() { _ = conn.SetWriteDeadline(time.Time{}) }() // an expired one would keep writeAvailable from writing
+	for deadline := time.Now().Add(writeTimeout); ; time.Sleep(retryPause) {
+		_ = conn.SetWriteDeadline(deadline)
+		n, err := conn.Write(b)
+		b = b[n:]
+		if len(b) == 0 {
+			return nil
+		}
+		late := time.Since(deadline)
+		switch v := socketerror.Judge(err, socketerror.Transfer); {
+		case v.Local() && late < 0:
+		case v == socketerror.DeadlineExceeded && late > promptExpiry: // the process stood still: the peer may have read on
+			deadline = time.Now().Add(writeTimeout)
+		default:
+			return err
+		}
+	}
+}
+
 // stop ends the outbox without a word.
 func (o *outbox) stop() {
 	o.mu.Lock()
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -67,7 +67,7 @@
 	if a.Kind == core.Plays {
 		c.stand(1)
 	}
-	told := c.out.put(s.appendAnswer(status, after, body))
+	told := c.out.putNow(s.appendAnswer(status, after, body))
 	if !told {
 		s.n.near.answersUnsent.Add(1)
 		s.n.Log.Warn("answer not sent: its connection is over", "session", s.id, "answer", a.Kind.String(), "connection", uint64(c.id))
