Three tests that fail: local errors pass for dead servers, pauses give time, accept closes viewers

TestTroubleWithinMessages beside them asks that reads and writes that fail for a moment change no byte.

--- /dev/null
+++ b/internal/node/localtrouble_test.go
@@ -0,0 +1,173 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"rainpulley/internal/rtsp"
+)
+
+// System calls fail for a moment, for reasons of this machine: nothing that was accepted is lost by it, and no server
+// passes for dead.
+
+// momentary are errors of this machine that pass by themselves.
+var momentary = []syscall.Errno{syscall.ENETUNREACH, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENFILE, syscall.EADDRNOTAVAIL,
+	syscall.EAGAIN, syscall.EINTR, syscall.ENETDOWN}
+
+func failedDial(number syscall.Errno) error {
+	return &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", number)}
+}
+
+// TestLocalDialErrors: no connection can be made for two seconds. A session that plays stays, though its server's
+// connection ends in that time; a set-up that came shortly before the end of it is served.
+func TestLocalDialErrors(t *testing.T) {
+	for _, number := range momentary {
+		t.Run(number.Error(), func(t *testing.T) {
+			t.Parallel()
+			var failing atomic.Bool
+			var failures atomic.Int64
+			b := newBox(t, "s-1", nil)
+			n := startGated(t, func(n *Node) {
+				n.Dial = func(ctx context.Context, addr string, within time.Duration) (net.Conn, error) {
+					if failing.Load() {
+						failures.Add(1)
+						return nil, failedDial(number)
+					}
+					return dialTCP(ctx, addr, within)
+				}
+			}, b)
+			v := n.dial().say(setUp(idA, "paid", ""))
+			m := b.next(t, "open")
+			ready(m)
+			v.want(idA, 200)
+			failing.Store(true)
+			_ = m.on.Close()
+			time.Sleep(2 * time.Second)
+			if failures.Load() < 3 {
+				t.Fatalf("only %d tries failed", failures.Load())
+			}
+			v.say(setUp(idB, "paid", ""))
+			time.Sleep(50 * time.Millisecond)
+			failing.Store(false)
+			ready(b.next(t, "open"))
+			v.want(idB, 200)
+			v.silent()
+			n.agree(2)
+		})
+	}
+}
+
+// TestPauseCountsAgainstClients: a request that came while the process stood still has less time left than it says, and
+// its server is told no more than that.
+func TestPauseCountsAgainstClients(t *testing.T) {
+	t.Parallel()
+	const pause, timer, slack = time.Second, 3 * time.Second, 150 * time.Millisecond
+	b := newBox(t, "s-1", ready)
+	p := startProcess(t, b)
+	v := p.dial()
+	v.say(ping).want("", 200)
+	p.pause(func() { v.say(setUp(idA, "paid", "")) }, pause)
+	v.want(idA, 200)
+	left, err := strconv.Atoi(b.next(t, "open").Attr("left"))
+	if most := timer - pause + slack; err != nil || time.Duration(left)*time.Millisecond > most {
+		t.Errorf("the server was told %d ms, the client has %v at most", left, most)
+	}
+}
+
+// TestAcceptTroubleClosesNobody: accept fails for reasons that no closed connection helps; nobody is closed for it.
+func TestAcceptTroubleClosesNobody(t *testing.T) {
+	for _, number := range []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EPROTO, syscall.EPERM} {
+		short := make(chan error, 8)
+		n := startGated(t, func(n *Node) { n.Listener = &shortListener{n.Listener, short} }, newBox(t, "s-1", ready))
+		silent := n.dial()
+		eventually(t, "taken", func() bool { n.viewers.mu.Lock(); defer n.viewers.mu.Unlock(); return len(n.viewers.all) == 1 })
+		time.Sleep(youngTime) // it may be closed for room from now on
+		for range 3 {
+			short <- &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", number)}
+		}
+		n.dial().say(setUp(idB, "free", "")).want(idB, 200)
+		n.dial().say(ping).want("", 200)
+		if len(short) > 0 {
+			t.Fatal("the failures were not met")
+		}
+		silent.say(setUp(idA, "free", "")).want(idA, 200)
+	}
+}
+
+// troubledConn fails each call a few times, and then reads and writes one byte at a time.
+type troubledConn struct {
+	net.Conn
+	mu      sync.Mutex
+	numbers []syscall.Errno
+	in, out bytes.Buffer
+	closed  bool
+}
+
+func (c *troubledConn) trouble() error {
+	if len(c.numbers) == 0 {
+		return nil
+	}
+	number := c.numbers[0]
+	c.numbers = c.numbers[1:]
+	return &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", number)}
+}
+
+func (c *troubledConn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.trouble(); err != nil {
+		return 0, err
+	}
+	return c.in.Read(b[:1])
+}
+
+func (c *troubledConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.trouble(); err != nil {
+		n, _ := c.out.Write(b[:1]) // a short write, and then the error
+		return n, err
+	}
+	return c.out.Write(b)
+}
+
+func (c *troubledConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *troubledConn) SetWriteDeadline(time.Time) error { return nil }
+
+// TestTroubleWithinMessages: reads and writes that fail for a moment, and short ones, change no byte of a message, and
+// cost no connection. What is broken for good is told.
+func TestTroubleWithinMessages(t *testing.T) {
+	trouble := []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR, syscall.EAGAIN}
+	whole := rtsp.AppendResponse(nil, 200, []string{"CSeq", "1", "Session", idA}, []byte("a description"))
+	reading := &troubledConn{numbers: trouble}
+	reading.in.Write(whole)
+	got, err := io.ReadAll(&timedReader{conn: reading})
+	if err != nil || !bytes.Equal(got, whole) {
+		t.Errorf("read %q, %v", got, err)
+	}
+	writing := &troubledConn{numbers: trouble}
+	failed := make(chan struct{})
+	out := &outbox{conn: writing, fail: func() { close(failed) }}
+	out.put(func(b []byte) []byte { return append(b, whole...) })
+	eventually(t, "all written", func() bool { return !out.busy() })
+	if !bytes.Equal(writing.out.Bytes(), whole) {
+		t.Errorf("written %q", writing.out.Bytes())
+	}
+	broken := &troubledConn{numbers: []syscall.Errno{syscall.EPIPE}}
+	out = &outbox{conn: broken, fail: func() { close(failed) }}
+	out.put(func(b []byte) []byte { return append(b, whole...) })
+	<-failed
+	if _, err := (&timedReader{conn: &troubledConn{numbers: []syscall.Errno{syscall.ECONNRESET}}}).Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("a reset reads as %v", err)
+	}
+}
