Local errors and pauses say nothing of servers; time counts from when a request may have come

Errors of connect and accept are judged by the one table: what is this machine's own makes a check inconclusive, is tried again by a set-up for as long as a connection may take, and closes no viewer unless a descriptor of this process is what lacks. An attempt's time counts from the decision, not from its goroutine's turn.

--- a/internal/core/act.go
+++ b/internal/core/act.go
@@ -98,11 +98,12 @@
 	if o.logsSessions() {
 		o.Log.Info("attempt", "session", r.ID, "server", a.Server, "attempt", attempt.Number, "rung", attempt.Rung, "patience", patience)
 	}
-	go o.attempt(ctx, attempt, max(patience, 0), now)
+	go o.attempt(ctx, attempt, time.Now().Add(patience), now)
 }
 
-func (o *Owner) attempt(ctx context.Context, a Attempt, patience, sent time.Duration) {
-	limited, stop := context.WithTimeoutCause(ctx, patience, errTimedOut)
+// attempt carries one attempt out. Its time counts from the decision, not from this goroutine's turn.
+func (o *Owner) attempt(ctx context.Context, a Attempt, until time.Time, sent time.Duration) {
+	limited, stop := context.WithDeadlineCause(ctx, until, errTimedOut)
 	defer stop()
 	res := o.Carrier.SetUp(limited, a)
 	if res.Outcome == control.Failed || res.Outcome == control.Reset {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"time"
 
 	"rainpulley/control"
 	"rainpulley/internal/core"
@@ -30,7 +31,7 @@
 		return core.Result{Outcome: control.Moot}
 	}
 	for {
-		l, err := p.take(ctx, s)
+		l, err := p.takePatiently(ctx, s)
 		if err != nil {
 			p.n.Log.Info("no connection", "session", a.ID, "server", a.Server, "error", err)
 			return core.Result{Outcome: notConnected(ctx, err)}
@@ -62,6 +63,25 @@
 	}
 }
 
+// takePatiently takes a link, and tries again for as long as a connection may take to come up where this machine cannot
+// make one for a moment.
+func (p *pool) takePatiently(ctx context.Context, s *server) (*link, error) {
+	for until := time.Now().Add(p.n.Config.Platform.ConnectTimeout); ; {
+		l, err := p.take(ctx, s)
+		if err == nil || !errors.Is(err, errLocal) || time.Now().After(until) {
+			return l, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(localRetryInterval):
+		}
+	}
+}
+
+// localRetryInterval is the time between two tries to connect where this machine cannot.
+const localRetryInterval = 20 * time.Millisecond
+
 // admit puts a set-up on a link if it may still go. What waited for its connection may be wanted no more: the
 // viewer's own mark is looked at, since its leave may still be queued for the owner behind hundreds of requests.
 func (p *pool) admit(ctx context.Context, l *link, id string, v *session) admission {
@@ -80,7 +100,7 @@
 // notConnected tells what a connection that did not come up says of its server. Nothing, where the viewer withdrew
 // meanwhile or this node has no descriptor left: hundreds of withdrawn set-ups must not make a healthy server suspect.
 func notConnected(ctx context.Context, err error) control.Outcome {
-	if errors.Is(err, errNoRoom) || errors.Is(err, errMoved) || errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(err, errNoRoom) || errors.Is(err, errLocal) || errors.Is(err, errMoved) || errors.Is(ctx.Err(), context.Canceled) {
 		return control.Moot
 	}
 	return control.ConnectFailed
--- a/internal/node/clockwatch_test.go
+++ b/internal/node/clockwatch_test.go
@@ -8,22 +8,57 @@
 // TestClockWatch: a pause is told from the monotonic clock, a step from the difference of the two, and neither passes
 // for the other.
 func TestClockWatch(t *testing.T) {
-	w := clockWatch{interval: 200 * time.Millisecond}
+	const usual = clockInterval
 	for _, c := range []struct{ monotonic, wall, pause, step time.Duration }{
-		{200 * time.Millisecond, 200 * time.Millisecond, 0, 0},
-		{349 * time.Millisecond, 349 * time.Millisecond, 0, 0},
-		{350 * time.Millisecond, 350 * time.Millisecond, 150 * time.Millisecond, 0},
-		{3200 * time.Millisecond, 3200 * time.Millisecond, 3 * time.Second, 0},
-		{200 * time.Millisecond, 3200 * time.Millisecond, 0, 3 * time.Second},
-		{200 * time.Millisecond, 200*time.Millisecond - time.Hour, 0, -time.Hour},
-		{time.Second, 0, 800 * time.Millisecond, -time.Second},
+		{usual, usual, 0, 0},
+		{usual + pauseThreshold - 1, usual + pauseThreshold - 1, 0, 0},
+		{usual + pauseThreshold, usual + pauseThreshold, pauseThreshold, 0},
+		{usual + 3*time.Second, usual + 3*time.Second, 3 * time.Second, 0},
+		{usual, usual + 3*time.Second, 0, 3 * time.Second},
+		{usual, usual - time.Hour, 0, -time.Hour},
+		{usual + time.Second, usual, time.Second, -time.Second},
 	} {
-		if pause, step := w.judge(c.monotonic, c.wall); pause != c.pause || step != c.step {
+		if pause, step := judgeClocks(c.monotonic, c.wall); pause != c.pause || step != c.step {
 			t.Errorf("monotonic %v, wall %v: pause %v, step %v", c.monotonic, c.wall, pause, step)
 		}
 	}
-	var first clockWatch
-	if pause, step := first.look(time.Now()); pause != 0 || step != 0 {
-		t.Error("the first look has nothing to compare with")
+}
+
+// TestArrival: what is read behind a pause may have come when the pause began, whether or not the pause was noticed
+// before; what is read later has come now.
+func TestArrival(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	var w clockWatch
+	if got := w.arrival(at(0), at(5)); !got.Equal(at(5)) {
+		t.Error("ahead of the first look nothing is known of pauses")
+	}
+	w.look(at(0))
+	w.look(at(100))
+	for _, c := range []struct {
+		name            string
+		from, now, want int
+	}{
+		{"no pause", 90, 150, 150},
+		{"not noticed yet", 90, 2100, 100},
+		{"not noticed yet, reader came later than the last look", 120, 2100, 120},
+	} {
+		if got := w.arrival(at(c.from), at(c.now)); !got.Equal(at(c.want)) {
+			t.Errorf("%s: %v, want %d ms", c.name, got.Sub(start), c.want)
+		}
+	}
+	w.look(at(2100))
+	for _, c := range []struct {
+		name            string
+		from, now, want int
+	}{
+		{"noticed", 90, 2110, 100},
+		{"began to wait behind it", 2105, 2110, 2110},
+		{"read long after it", 90, 2100 + int(catchUp.Milliseconds()) + 1, 2601},
+	} {
+		w.last = at(c.now) // the looks go on
+		if got := w.arrival(at(c.from), at(c.now)); !got.Equal(at(c.want)) {
+			t.Errorf("%s: %v, want %d ms", c.name, got.Sub(start), c.want)
+		}
 	}
 }
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
-	"syscall"
 	"time"
 
 	"rainpulley/control"
@@ -12,6 +12,7 @@
 	"rainpulley/internal/delivery"
 	"rainpulley/internal/jsonlines"
 	"rainpulley/internal/liveness"
+	"rainpulley/internal/socketerror"
 )
 
 // link is one connection to a server.
@@ -116,7 +117,8 @@
 }
 
 var (
-	errNoRoom = errors.New("node: no descriptor left for a connection to a server")
+	errNoRoom = errors.New("node: no place left for a connection to a server")
+	errLocal  = errors.New("node: no connection for reasons of this machine")
 	errMoved  = errors.New("node: the server is another by now")
 )
 
@@ -129,11 +131,12 @@
 		s.renewAt = 0
 	}
 	p.mu.Unlock()
+	began := time.Now()
 	conn, err := p.n.Dial(ctx, addr, within)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
-		return nil, p.dialFailed(ctx, s, err, why)
+		return nil, p.dialFailed(ctx, s, err, why, began)
 	}
 	if s.addr != addr || p.byID[s.id] != s || p.over { // told while it came up: nobody would close it
 		p.links--
@@ -144,15 +147,23 @@
 	return p.addLink(s, conn), nil
 }
 
-// dialFailed gives the reserved place back. An error of this side's own limits says nothing of the server.
-func (p *pool) dialFailed(ctx context.Context, s *server, err error, why purpose) error {
+// dialFailed gives the reserved place back. What is this machine's own trouble says nothing of the server, and neither does
+// a time-out in which this process stood still.
+func (p *pool) dialFailed(ctx context.Context, s *server, err error, why purpose, began time.Time) error {
 	p.links--
 	p.renew(s, 0)
-	if noDescriptor(err) {
-		return errNoRoom
+	verdict := socketerror.Judge(err, socketerror.Connect)
+	if verdict.Local() {
+		p.n.near.localErrors.Add(1)
+		return fmt.Errorf("%w: %w", errLocal, err)
+	}
+	if verdict != socketerror.PeerRefused {
+		if _, paused := p.n.clocks.pausedSince(began, time.Now()); paused {
+			return fmt.Errorf("%w: the process stood still: %w", errLocal, err)
+		}
 	}
 	if ctx.Err() == nil {
-		p.tellDetector(s, dialResult(err), why)
+		p.tellDetector(s, dialResult(verdict), why)
 	}
 	return err
 }
@@ -182,18 +193,14 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-func dialResult(err error) liveness.DialResult {
-	if errors.Is(err, syscall.ECONNREFUSED) {
+// dialResult is what a failed connection says of its server, where it is not this machine's own trouble.
+func dialResult(verdict socketerror.Verdict) liveness.DialResult {
+	if verdict == socketerror.PeerRefused {
 		return liveness.Refused
 	}
 	return liveness.Silent
 }
 
-// noDescriptor tells an error of this side's own limits.
-func noDescriptor(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL)
-}
-
 // close ends a link that can be read or written no more.
 func (p *pool) close(l *link) {
 	p.mu.Lock()
--- a/internal/node/localtrouble_test.go
+++ b/internal/node/localtrouble_test.go
@@ -67,6 +67,36 @@
 	}
 }
 
+// TestPauseProvesNothingOfServers: tries to connect whose time ran out while the process stood still do not end the
+// sessions of a server.
+func TestPauseProvesNothingOfServers(t *testing.T) {
+	var paused atomic.Bool
+	var tries atomic.Int64
+	b := newBox(t, "s-1", nil)
+	n := startGated(t, func(n *Node) {
+		n.Dial = func(ctx context.Context, addr string, within time.Duration) (net.Conn, error) {
+			if !paused.Load() {
+				return dialTCP(ctx, addr, within)
+			}
+			tries.Add(1)
+			n.clocks.mu.Lock()
+			n.clocks.pauseStart, n.clocks.pauseEnd = time.Now(), time.Now()
+			n.clocks.mu.Unlock()
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+		}
+	}, b)
+	v := n.dial().say(setUp(idA, "paid", ""))
+	m := b.next(t, "open")
+	ready(m)
+	v.want(idA, 200)
+	paused.Store(true)
+	_ = m.on.Close()
+	eventually(t, "several tries", func() bool { return tries.Load() >= 4 })
+	paused.Store(false)
+	v.silent()
+	n.agree(1)
+}
+
 // TestPauseCountsAgainstClients: a request that came while the process stood still has less time left than it says, and
 // its server is told no more than that.
 func TestPauseCountsAgainstClients(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,7 +44,8 @@
 	mu       sync.Mutex
 	sessions map[string]*session // that wait or stand, by id
 
-	near nearMisses
+	near   nearMisses
+	clocks clockWatch
 }
 
 const (
@@ -90,6 +91,9 @@
 // now is Unix time that never steps back while the node runs.
 func (n *Node) now() time.Duration { return n.wall + time.Since(n.base) }
 
+// at is the same of a moment that is known.
+func (n *Node) at(t time.Time) time.Duration { return n.wall + t.Sub(n.base) }
+
 // patience is what a context leaves.
 func (n *Node) patience(ctx context.Context) time.Duration {
 	if d, ok := ctx.Deadline(); ok {
@@ -169,31 +173,6 @@
 	return nil
 }
 
-// watchClocks logs pauses of the process and steps of the wall clock, and now and then what came close to a loss: a node
-// that is killed writes no last line.
-func (n *Node) watchClocks(ctx context.Context) {
-	w := clockWatch{interval: watchInterval}
-	told, looks := n.near.sum(), 0
-	every(ctx, watchInterval, func() {
-		pause, step := w.look(time.Now())
-		if pause > 0 {
-			n.near.pauses.Add(1)
-			n.Log.Warn("process paused", "for", pause)
-		}
-		if step != 0 {
-			n.near.clockSteps.Add(1)
-			n.Log.Warn("wall clock stepped", "by", step)
-		}
-		if looks++; looks%nearMissLooks == 0 && n.near.sum() != told {
-			told = n.near.sum()
-			n.Log.Info("near misses so far", "near", &n.near)
-		}
-	})
-}
-
-// nearMissLooks is after how many looks at the clocks new near misses are logged: every 2 s.
-const nearMissLooks = 10
-
 const compareInterval = 2 * time.Second
 
 // compare logs where the module's count of own sessions at a server is not that on the sockets. For a moment
--- a/internal/node/setup.go
+++ b/internal/node/setup.go
@@ -54,8 +54,8 @@
 	return time.Duration(v * float64(time.Millisecond)), true
 }
 
-// readSetUp reads a set-up, or says what is wrong with it. Whatever an arithmetic rests on is bounded here.
-func (n *Node) readSetUp(m *rtsp.Message) (r control.Request, s *session, wrong string) {
+// readSetUp reads a set-up that came at a time, or says what is wrong with it. Whatever an arithmetic rests on is bounded here.
+func (n *Node) readSetUp(m *rtsp.Message, arrived time.Time) (r control.Request, s *session, wrong string) {
 	s = &session{n: n, id: m.Get("Session"), uri: m.URI, cseq: m.Get("CSeq"), className: m.Get("X-Cos"), text: string(m.Body)}
 	title, ok := strings.CutPrefix(m.URI, addresses)
 	if !ok || !isID(s.id) {
@@ -85,13 +85,13 @@
 	if !utf8.ValidString(s.text) {
 		return r, nil, "description"
 	}
-	if wrong := n.readFields(m, &r, s); wrong != "" {
+	if wrong := n.readFields(m, arrived, &r, s); wrong != "" {
 		return r, nil, wrong
 	}
 	return r, s, ""
 }
 
-func (n *Node) readFields(m *rtsp.Message, r *control.Request, s *session) string {
+func (n *Node) readFields(m *rtsp.Message, arrived time.Time, r *control.Request, s *session) string {
 	if again := m.Get("X-Reattempt"); again != "" && again != "0" {
 		r.Repeat = true
 	}
@@ -114,7 +114,7 @@
 		return "timer"
 	}
 	s.timer = timer
-	s.due = n.now() + timer
+	s.due = n.at(arrived) + timer
 	r.Due = s.due
 	return ""
 }
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -24,6 +24,8 @@
 	from string // address without port
 	at   time.Time
 
+	arrived time.Time // when the message in hand may have come at the earliest; of the reading goroutine
+
 	mu       sync.Mutex
 	spoke    bool                // a whole message came
 	begun    bool                // a message has begun and is not whole yet
@@ -69,6 +71,7 @@
 	d := rtsp.NewReader(bufio.NewReaderSize(&c.in, 4<<10))
 	c.in.setDeadline(c.at.Add(firstMessageTimeout))
 	for {
+		waiting := time.Now()
 		if err := d.Wait(); err != nil {
 			return readEnd(err)
 		}
@@ -85,6 +88,7 @@
 		case err != nil:
 			return readEnd(err)
 		}
+		c.arrived = c.n.clocks.arrival(waiting, time.Now())
 		c.in.setDeadline(time.Time{})
 		if c.messageRead() {
 			c.n.viewers.firstMessage(c)
@@ -139,7 +143,7 @@
 // setUp hands a set-up to the owner. One under an id that is open is refused without touching that one; the
 // refusal names no session, so that it cannot pass for the open one's answer.
 func (c *viewer) setUp(m *rtsp.Message) {
-	r, s, wrong := c.n.readSetUp(m)
+	r, s, wrong := c.n.readSetUp(m, c.arrived)
 	if s == nil {
 		c.n.Log.Info("set-up refused", "session", m.Get("Session"), "status", 400, "why", wrong, "connection", uint64(c.id))
 		c.reply(m, 400)
--- a/internal/node/viewers.go
+++ b/internal/node/viewers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rainpulley/internal/delivery"
+	"rainpulley/internal/socketerror"
 )
 
 // viewers are the connections that viewers opened.
@@ -52,8 +53,10 @@
 			_ = setDeadline(l, backlogQuiet)
 			continue
 		case err != nil: // the peer has gone already, or no descriptor is left: then one is freed, or waited for
-			v.n.Log.Info("connection not accepted", "error", err)
-			if noDescriptor(err) {
+			v.n.near.localErrors.Add(1)
+			verdict := socketerror.Judge(err, socketerror.Accept)
+			v.n.Log.Info("connection not accepted", "error", err, "verdict", verdict.String())
+			if verdict == socketerror.LocalDescriptors { // only this one is helped by closing a connection of this process
 				v.evict(time.Now())
 			}
 			time.Sleep(acceptPause)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -10,6 +10,7 @@
 
 	"rainpulley/control"
 	"rainpulley/internal/liveness"
+	"rainpulley/internal/socketerror"
 )
 
 const (
@@ -122,11 +123,11 @@
 		return true
 	}
 	p.n.Log.Debug("no connection", "server", s.id, "error", err)
-	if errors.Is(err, errNoRoom) || errors.Is(err, errMoved) || ctx.Err() != nil {
+	if errors.Is(err, errNoRoom) || errors.Is(err, errLocal) || errors.Is(err, errMoved) || ctx.Err() != nil {
 		p.mu.Lock()
 		s.detector.Inconclusive(p.n.now())
 		p.mu.Unlock()
 		return true
 	}
-	return dialResult(err) == liveness.Refused
+	return socketerror.Judge(err, socketerror.Connect) == socketerror.PeerRefused
 }
