A server is told again to give up a set-up whose connection broke within the doubt time

A give-up was the one release that was not tracked: its 'close' went on the set-up's connection and was forgotten. A connection that either side ended in order repeats nothing. Servers' lines are read through errors of this machine like viewers'.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -121,6 +121,7 @@
 	l.sid = ""
 	late := errors.Is(ctx.Err(), context.DeadlineExceeded) && !l.gone
 	l.say(jsonlines.Close, a.ID, nil, jsonlines.CauseEnd, "")
+	p.noteGiveUp(l, a.ID)
 	if late {
 		l.s.detector.RequestTimedOut()
 		p.retire(l)
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"rainpulley/control"
@@ -28,6 +29,13 @@
 	gone   bool          // out of use; under the pool's lock
 	heard  time.Duration // of the last line that came or set-up that went: the server's idle time-out counts from there
 	used   time.Duration // of the last set-up's end; 0: none yet
+	gaveUp []givenUp     // set-ups that were given up on it a short time ago
+}
+
+// givenUp is a set-up that was given up, which its server was told on the connection it went on.
+type givenUp struct {
+	id string
+	at time.Duration
 }
 
 const (
@@ -181,7 +189,7 @@
 	p.opened++
 	now := p.n.now()
 	l := &link{s: s, id: p.opened, opened: now, conn: conn, reply: make(chan core.Result, 1), heard: now}
-	l.out.conn, l.out.fail = conn, func() { p.close(l) }
+	l.out.conn, l.out.fail = conn, func() { p.close(l, false) }
 	s.links = append(s.links, l)
 	p.readers.Go(func() { p.read(l) })
 	p.sendReleases(s)
@@ -201,14 +209,44 @@
 	return liveness.Silent
 }
 
-// close ends a link that can be read or written no more.
-func (p *pool) close(l *link) {
+// close ends a link that can be read or written no more. InOrder tells that neither side broke it: what was written has
+// been read.
+func (p *pool) close(l *link, inOrder bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !inOrder {
+		p.repeatGiveUps(l)
+	}
 	p.drop(l)
 	p.renew(l.s, renewDelay)
 }
 
+// noteGiveUp keeps in mind that a server was told on a link to give a set-up up.
+func (p *pool) noteGiveUp(l *link, id string) {
+	now := p.n.now()
+	l.gaveUp = slices.DeleteFunc(l.gaveUp, func(g givenUp) bool { return now-g.at > releaseDoubt })
+	l.gaveUp = append(l.gaveUp, givenUp{id, now})
+}
+
+// repeatGiveUps has a server told again, on another connection, to give up what it may not have heard of on one that has
+// broken: it may have answered, and the session would stand there for nobody. A later attempt of the same request that
+// runs there is left alone.
+func (p *pool) repeatGiveUps(l *link) {
+	now := p.n.now()
+	for _, g := range l.gaveUp {
+		if now-g.at <= releaseDoubt && !l.s.runs(g.id) {
+			l.s.releases.Add(g.id, struct{}{}, now)
+		}
+	}
+	l.gaveUp = nil
+	p.sendReleases(l.s)
+}
+
+// runs tells whether a session stands at a server or its set-up is out there.
+func (s *server) runs(id string) bool {
+	return s.standing[id] || slices.ContainsFunc(s.links, func(l *link) bool { return l.sid == id })
+}
+
 // renew has a connection to a server with sessions opened in a while, though others may be open. A release that the
 // server had just written on a connection that ended is destroyed with it, and is said again only on the next one that is
 // opened (seen: sessions whose release crossed the end of a connection stood for ever, one or two of 11,600 ends). One
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -8,17 +8,19 @@
 	"rainpulley/control"
 	"rainpulley/internal/core"
 	"rainpulley/internal/jsonlines"
+	"rainpulley/internal/socketerror"
 	"rainpulley/internal/wire"
 )
 
 // read takes what a server says on one connection until it ends.
 func (p *pool) read(l *link) {
-	r := bufio.NewReaderSize(l.conn, jsonlines.Most)
+	r := bufio.NewReaderSize(&timedReader{conn: l.conn}, jsonlines.Most)
 	for {
 		m, err := jsonlines.Read(r)
 		if err != nil {
 			p.n.Log.Debug("connection to server over", "server", l.s.id, "error", err)
-			p.close(l)
+			verdict := socketerror.Judge(err, socketerror.Transfer)
+			p.close(l, verdict == socketerror.ClosedHere || verdict == socketerror.PeerClosed)
 			return
 		}
 		p.handle(l, m)
