A server's age is counted on this node's clock from when it was heard of, not between two clocks

No wall clock of this machine is in it. Cost: a restarted node takes servers for as young as the last one that started.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -86,6 +86,7 @@
 // Follower follows a coordinator whose address may change.
 type Follower struct {
 	Take   func([]Update) error // in their order, each once; an error leaves them to be read again
+	Heard  func()               // if set, called behind each answer that was taken, an empty one too
 	Log    *slog.Logger
 	client http1.Client
 
@@ -185,10 +186,14 @@
 	}
 	before := f.held
 	if all {
-		return true, false, f.takeAll(u)
+		err = f.takeAll(u)
+	} else {
+		err = f.take(u)
 	}
-	err = f.take(u)
-	return f.held > before, false, err
+	if err == nil && f.Heard != nil {
+		f.Heard()
+	}
+	return all || f.held > before, false, err
 }
 
 // take hands on what is new in an answer. An index that goes back is no news: numbers only rise, and an older list
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"rainpulley/control"
 	"rainpulley/internal/coordinator"
 	"rainpulley/internal/core"
+	"rainpulley/internal/startage"
 )
 
 // Node is one running front node.
@@ -44,6 +45,9 @@
 	mu       sync.Mutex
 	sessions map[string]*session // that wait or stand, by id
 
+	agesMu sync.Mutex
+	ages   startage.Translator // of servers, from the coordinator's clock to this node's
+
 	near   nearMisses
 	clocks clockWatch
 }
@@ -79,6 +83,7 @@
 	n.owner = core.New(core.Options{Queue: maxQueued, MaxAttempts: c.Set.MaxAttempts, Slack: c.Platform.AnswerSlack + socketSlack,
 		Budget: core.Budget{Span: c.Set.BudgetSpan, Share: c.Set.BudgetShare}, Log: log, Decider: d, Carrier: n.pool, Now: n.now})
 	n.follow = coordinator.New(c.Coordinator, c.Known.Index, c.Platform.ConnectTimeout, log, n.take)
+	n.follow.Heard = n.coordinatorHeard
 	return n, nil
 }
 
@@ -112,6 +117,7 @@
 func (n *Node) update(updates []coordinator.Update, cached bool) error {
 	entries, whole := coordinator.Merge(updates)
 	list, unusable := n.Config.servers(entries)
+	n.translateStarts(list, whole)
 	for _, err := range unusable {
 		n.Log.Warn("entry of the server list not used", "error", err)
 	}
@@ -133,6 +139,32 @@
 	return nil
 }
 
+// translateStarts puts the servers' starts into this node's time: they are told by another machine's clock.
+func (n *Node) translateStarts(list []control.Server, whole bool) {
+	n.agesMu.Lock()
+	defer n.agesMu.Unlock()
+	starts := make([]startage.Start, len(list))
+	state := make(map[string]control.State, len(list))
+	for i, s := range list {
+		starts[i] = startage.Start{ID: s.ID, At: s.Started}
+		state[s.ID] = s.State
+	}
+	for i, local := range n.ages.Translate(starts, n.now()) {
+		list[i].Started = local
+	}
+	n.ages.Forget(func(id string) bool {
+		now, told := state[id]
+		return told && now != control.Gone || !told && !whole
+	})
+}
+
+// coordinatorHeard notes that the coordinator has told all that it had to tell.
+func (n *Node) coordinatorHeard() {
+	n.agesMu.Lock()
+	defer n.agesMu.Unlock()
+	n.ages.Contact(n.now())
+}
+
 // Run serves until SIGTERM and what is owed after it.
 func (n *Node) Run(ctx context.Context) error {
 	term, stopTerm := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
