--- a/control/control.go
+++ b/control/control.go
@@ -366,6 +366,17 @@
 		c.end(x)
 		return
 	}
+	var best *server
+	c.compare(func() { best = c.choose(x) })
+	if best == nil {
+		c.end(x)
+		return
+	}
+	c.send(x, best)
+}
+
+// choose is the server that a request goes to; nil where none will do.
+func (c *Controller) choose(x *session) *server {
 	lowest := c.rate(x, x.class.Floor)
 	var roomy, crowded, suspect []*server
 	for _, s := range c.order {
@@ -383,11 +394,10 @@
 	}
 	for _, group := range [][]*server{c.shared(x, roomy), crowded, c.trials(x, suspect)} {
 		if s := c.leastLoaded(x, group); s != nil {
-			c.send(x, s)
-			return
+			return s
 		}
 	}
-	c.end(x)
+	return nil
 }
 
 // allowed keeps the rules that no load can bend: listed and ready, holder of the title, a free
--- a/control/state.go
+++ b/control/state.go
@@ -40,6 +40,10 @@
 	meanIs      float64
 	meanKnown   bool // nothing that the mean rests on changed since it was worked out
 	evaluations int  // servers looked at for means; tests bound it
+	summed      int  // uplinks summed up; tests bound it
+
+	comparing   bool // servers are compared: nothing changes that their load rests on
+	comparisons int  // so far
 }
 
 // New returns the controller of one front, or an error if the settings make no sense.
@@ -178,6 +182,9 @@
 
 // rack is the shared uplink of some servers.
 type rack struct {
+	summed    float64 // rate asked of it, as of a comparison
+	summedFor int     // number of that comparison
+
 	servers   []*server
 	capacity  float64 // kB/s, as learned
 	prior     float64 // kB/s, from the settings
@@ -387,8 +394,28 @@
 	return kb
 }
 
-// uplink is the rate asked of a rack's uplink.
+// uplink is the rate asked of a rack's uplink. While servers are compared nothing changes that it rests on, and it is
+// summed up once for each rack: a sum for each server that is compared grows with the square of the fleet.
 func (c *Controller) uplink(r *rack) (kb float64) {
+	if !c.comparing {
+		return c.sumUplink(r)
+	}
+	if r.summedFor != c.comparisons {
+		r.summedFor, r.summed = c.comparisons, c.sumUplink(r)
+	}
+	return r.summed
+}
+
+// compare has look run while nothing changes that a server's load rests on.
+func (c *Controller) compare(look func()) {
+	c.comparisons++
+	c.comparing = true
+	look()
+	c.comparing = false
+}
+
+func (c *Controller) sumUplink(r *rack) (kb float64) {
+	c.summed++
 	mean := c.mean()
 	for _, s := range r.servers {
 		kb += c.blend(s, mean) * s.capacity
