--- a/internal/node/accepted_test.go
+++ b/internal/node/accepted_test.go
@@ -200,3 +200,26 @@
 		n.agree(0)
 	}
 }
+
+// TestNoRoomIsWaitedFor: a request comes on a new connection while as many connections as may be open all wait for
+// answers. Nobody is closed for it, and it is answered as soon as one of them is.
+func TestNoRoomIsWaitedFor(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startGated(t, func(n *Node) { n.viewers.maxConnections = 3 }, b)
+	var waiting [3]*dialogue
+	var out [3]said
+	for i := range waiting {
+		waiting[i] = n.dial().say(setUp(fmt.Sprintf("%016x", i+1), "paid", ""))
+		out[i] = b.next(t, "open")
+	}
+	late := n.dial().say(setUp(idA, "paid", ""))
+	time.Sleep(quiet)
+	ready(out[0])
+	waiting[0].want(out[0].ID, 200)
+	ready(b.next(t, "open"))
+	late.want(idA, 200)
+	for i := 1; i < len(waiting); i++ {
+		ready(out[i])
+		waiting[i].want(out[i].ID, 200)
+	}
+}
