Where all connections wait for answers a new one waits for room instead of being closed unread

A connection that was accepted while none could be evicted was closed; now it may be one of an eighth more than the budget, and beyond that the node waits for an answer, while others stay in the accept backlog. The budget is half of the descriptors, servers have three eighths, so an eighth more of the half still leaves a sixteenth. TestNoRoomIsWaitedFor failed before. Existing tests of descriptors and of the end: three times, green.

--- a/internal/node/closing.go
+++ b/internal/node/closing.go
@@ -18,16 +18,15 @@
 type closeReason string
 
 const (
-	closedByViewer    closeReason = "closed by the viewer"
-	resetByViewer     closeReason = "reset by the viewer"
-	brokenByNetwork   closeReason = "network error"
-	closedUnreadable  closeReason = "message that cannot be read"
-	closedStalled     closeReason = "message that stalled"
-	closedSilent      closeReason = "no message in time"
-	closedForRoom     closeReason = "closed to make room"
-	closedUnwritable  closeReason = "answers cannot be written"
-	closedAtNodeEnd   closeReason = "node ends"
-	closedNotAccepted closeReason = "no room for another connection"
+	closedByViewer   closeReason = "closed by the viewer"
+	resetByViewer    closeReason = "reset by the viewer"
+	brokenByNetwork  closeReason = "network error"
+	closedUnreadable closeReason = "message that cannot be read"
+	closedStalled    closeReason = "message that stalled"
+	closedSilent     closeReason = "no message in time"
+	closedForRoom    closeReason = "closed to make room"
+	closedUnwritable closeReason = "answers cannot be written"
+	closedAtNodeEnd  closeReason = "node ends"
 )
 
 // byThisNode tells whether this side ended the connection: requests that were open on it then are lost.
--- a/internal/node/nearmiss.go
+++ b/internal/node/nearmiss.go
@@ -11,6 +11,7 @@
 	answersUnsent    atomic.Int64 // their connection was over, and no viewer was known to have left
 	closedUnanswered atomic.Int64 // requests open on connections that this side closed
 	viewersRefused   atomic.Int64 // connections accepted and closed unread
+	viewersDelayed   atomic.Int64 // looks for room in vain: all connections waited for answers
 	lateAnswers      atomic.Int64 // in the last tenth of their time, or after it
 	viewersClosed    atomic.Int64 // connections closed to make room for others
 	placesMissing    atomic.Int64 // set-ups without a descriptor for their connection
@@ -36,6 +37,7 @@
 		{"answers_unsent", &m.answersUnsent},
 		{"closed_unanswered", &m.closedUnanswered},
 		{"viewers_refused", &m.viewersRefused},
+		{"viewers_delayed", &m.viewersDelayed},
 		{"late_answers", &m.lateAnswers},
 		{"viewers_closed", &m.viewersClosed},
 		{"places_missing", &m.placesMissing},
--- a/internal/node/viewers.go
+++ b/internal/node/viewers.go
@@ -16,7 +16,8 @@
 // viewers are the connections that viewers opened.
 type viewers struct {
 	n              *Node
-	maxConnections int
+	maxConnections int // beyond it the connection least missed is closed for each new one
+	reserve        int // so many more may be open where all wait for their answers
 
 	mu      sync.Mutex
 	all     map[*viewer]struct{}
@@ -28,13 +29,14 @@
 }
 
 const (
+	reserveShare    = 8                     // of the budget of connections: an eighth
 	acceptPause     = 5 * time.Millisecond  // after a connection that could not be taken
 	backlogQuiet    = 20 * time.Millisecond // connections that are up already when the node stops listening are taken
 	lastReadTimeout = 60 * time.Millisecond // viewers' last words are read so long: unread bytes at a close destroy answers
 )
 
 func newViewers(n *Node, maxConnections int) *viewers {
-	return &viewers{n: n, maxConnections: maxConnections, all: map[*viewer]struct{}{}, notices: map[string]*delivery.Pending[*notice]{}}
+	return &viewers{n: n, maxConnections: maxConnections, reserve: maxConnections / reserveShare, all: map[*viewer]struct{}{}, notices: map[string]*delivery.Pending[*notice]{}}
 }
 
 // serve takes connections until the listener closes, or until none has come for a while when the node leaves: a
@@ -97,14 +99,8 @@
 		c.refuseConnection(closedAtNodeEnd)
 		return
 	}
-	full := len(v.all) >= v.maxConnections
 	v.mu.Unlock()
-	if full {
-		if !v.evict(now) {
-			c.refuseConnection(closedNotAccepted)
-			return
-		}
-	}
+	v.makeRoom()
 	v.mu.Lock()
 	v.opened++
 	c.id = v.opened
@@ -113,6 +109,22 @@
 	v.n.start(c.read)
 }
 
+// makeRoom returns when one more connection may be open. Where all others wait for their answers it may be one beyond the
+// budget, and beyond the reserve it waits for an answer: requests whose connections are not taken yet wait in the backlog
+// meanwhile, which loses none of them. At the end of the node it does not wait: all are answered then.
+func (v *viewers) makeRoom() {
+	waitFor := func() bool {
+		v.mu.Lock()
+		open := len(v.all)
+		v.mu.Unlock()
+		return open < v.maxConnections || v.evict(time.Now()) || open < v.maxConnections+v.reserve
+	}
+	for !waitFor() {
+		v.n.near.viewersDelayed.Add(1)
+		time.Sleep(acceptPause)
+	}
+}
+
 // closeAll ends all connections and takes no further one. Writing halves go first, and what viewers still send is read
 // for a moment: closing with unread bytes resets the connection, and an answer just written could be lost with it.
 func (v *viewers) closeAll() {
