--- a/internal/node/giveup_test.go
+++ b/internal/node/giveup_test.go
@@ -3,7 +3,9 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"rainpulley/internal/jsonlines"
 )
@@ -39,3 +41,75 @@
 		t.Errorf("%+v", m.Message)
 	}
 }
+
+// TestGiveUpSparesLaterAttempt: the connection of a set-up that was given up, or on which one was out, breaks, and a later
+// attempt of the same request comes to stand at the same server. What concerns the earlier one is not said any more: it
+// would end the session.
+func TestGiveUpSparesLaterAttempt(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		atOnce bool // the connection breaks while the set-up is out
+	}{{"given up for time", false}, {"broken while it is out", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var attempts atomic.Int64
+			b := newBox(t, "s-1", func(m said) {
+				if m.Type == jsonlines.Close && attempts.Load() > 1 {
+					t.Errorf("the session that stands was released: %+v", m.Message)
+				}
+				if m.Type != jsonlines.Open {
+					return
+				}
+				if attempts.Add(1) > 1 {
+					ready(m)
+					return
+				}
+				if !c.atOnce {
+					time.Sleep(500 * time.Millisecond) // its time is 405 ms: the next attempt is out by now
+				}
+				_ = m.on.Conn.(*net.TCPConn).SetLinger(0)
+				_ = m.on.Close()
+			})
+			n := startNode(t, b)
+			v := n.dial().say(setUp(idA, "free", ""))
+			v.want(idA, 200)
+			time.Sleep(2 * watchInterval)
+			n.agree(1)
+		})
+	}
+}
+
+// TestOldReleaseSparesSession: a set-up's connection breaks, the server is told to give it up on the next one, and there a
+// later attempt of the same request comes to stand. That connection breaks too: what was said on it about the earlier
+// attempt is not said again.
+func TestOldReleaseSparesSession(t *testing.T) {
+	var attempts atomic.Int64
+	b := newBox(t, "s-1", func(m said) {
+		switch {
+		case m.Type == jsonlines.Close && attempts.Load() > 1:
+			t.Errorf("the session that stands was released: %+v", m.Message)
+		case m.Type == jsonlines.Open && attempts.Add(1) > 1:
+			ready(m)
+		case m.Type == jsonlines.Open:
+			_ = m.on.Conn.(*net.TCPConn).SetLinger(0)
+			_ = m.on.Close()
+		}
+	})
+	n := startNode(t, b)
+	v := n.dial().say(setUp(idA, "free", ""))
+	v.want(idA, 200)
+	stands := b.next(t, jsonlines.Open)
+	for stands.on == nil || attempts.Load() < 2 {
+		stands = b.next(t, jsonlines.Open)
+	}
+	b.mu.Lock()
+	last := b.conns[len(b.conns)-1]
+	before := len(b.conns)
+	b.mu.Unlock()
+	_ = last.Conn.(*net.TCPConn).SetLinger(0)
+	_ = last.Close()
+	eventually(t, "another connection", func() bool { return b.accepted() > before })
+	time.Sleep(2 * watchInterval)
+	v.silent()
+	n.agree(1)
+}
