A release of an earlier attempt is held while its request is open, and dropped by a later one

All attempts of a request have one id, so a release that says or repeats that an attempt is given up ends the session of a later attempt at the same server, which then ends without a word to its viewer. Such releases are held until the request is answered or withdrawn, and said only if nothing of it runs at that server; a set-up that goes to a server drops what is still to be said there of earlier ones.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -94,6 +94,7 @@
 		return connectionOver
 	}
 	l.sid, l.heard = id, p.n.now()
+	l.s.releases.Confirmed(id) // of an earlier attempt: said again, it would end this one
 	return admitted
 }
 
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -229,17 +229,15 @@
 }
 
 // repeatGiveUps has a server told again, on another connection, to give up what it may not have heard of on one that has
-// broken: it may have answered, and the session would stand there for nobody. A later attempt of the same request that
-// runs there is left alone.
+// broken: it may have answered, and the session would stand there for nobody.
 func (p *pool) repeatGiveUps(l *link) {
 	now := p.n.now()
 	for _, g := range l.gaveUp {
-		if now-g.at <= releaseDoubt && !l.s.runs(g.id) {
-			l.s.releases.Add(g.id, struct{}{}, now)
+		if now-g.at <= releaseDoubt {
+			p.holdRelease(l.s, g.id)
 		}
 	}
 	l.gaveUp = nil
-	p.sendReleases(l.s)
 }
 
 // runs tells whether a session stands at a server or its set-up is out there.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -254,6 +254,12 @@
 	return n.sessions[id]
 }
 
+// waits tells whether a request under an id still waits for its answer.
+func (n *Node) waits(id string) bool {
+	s := n.find(id)
+	return s != nil && s.waits()
+}
+
 func (n *Node) forget(s *session) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -41,6 +41,7 @@
 	unconnectedSince time.Duration
 	standing         map[string]bool
 	abandoned        map[string]bool // set-ups whose connection broke: they may run, and nobody wants them
+	held             map[string]bool // of them, or given up, those whose request is still open: see holdRelease
 	detector         liveness.Detector
 	releases         *delivery.Pending[struct{}] // of sessions that the server need not run any more
 	earlyEnds        map[string]earlyEnd         // of sessions that this node does not know yet
@@ -105,7 +106,7 @@
 }
 
 func (p *pool) add(id string, now time.Duration) *server {
-	s := &server{id: id, unconnectedSince: now, standing: map[string]bool{}, abandoned: map[string]bool{}, detector: liveness.New(now),
+	s := &server{id: id, unconnectedSince: now, standing: map[string]bool{}, abandoned: map[string]bool{}, held: map[string]bool{}, detector: liveness.New(now),
 		releases: delivery.New[struct{}](releaseLifetime, releaseDoubt), earlyEnds: map[string]earlyEnd{}}
 	p.byID[id] = s
 	return s
@@ -129,7 +130,7 @@
 // tidy forgets servers that have gone and run nothing any more.
 func (p *pool) tidy() {
 	for id, s := range p.byID {
-		busy := len(s.standing) > 0 || s.releases.HasWaiting() || len(s.idle) < len(s.links) || s.detector.Checking()
+		busy := len(s.standing) > 0 || len(s.held) > 0 || s.releases.HasWaiting() || len(s.idle) < len(s.links) || s.detector.Checking()
 		if s.state == control.Gone && !busy {
 			for len(s.links) > 0 {
 				p.retire(s.links[0]) // a release may wait on it
@@ -150,6 +151,7 @@
 	p.closeAll(s)
 	s.releases = delivery.New[struct{}](releaseLifetime, releaseDoubt) // nothing runs there that could be released
 	s.renewAt = 0
+	clear(s.held)
 	if len(s.standing) == 0 {
 		return
 	}
@@ -203,15 +205,41 @@
 	if s == nil {
 		return
 	}
-	if !s.standing[id] && !s.abandoned[id] {
+	stood := s.standing[id]
+	if !stood && !s.abandoned[id] {
 		return // the set-up was given up or refused: nothing of it runs
 	}
 	delete(s.standing, id)
 	delete(s.abandoned, id)
+	if !stood {
+		p.holdRelease(s, id)
+		return
+	}
 	s.releases.Add(id, struct{}{}, p.n.now())
 	p.sendReleases(s)
 }
 
+// holdRelease has a server told to give an attempt up once the request is over. All attempts of a request have one id, and
+// a later one may go to the same server: a release that comes behind it, on another connection, would end its session.
+func (p *pool) holdRelease(s *server, id string) {
+	s.held[id] = true
+	p.releaseHeld(s)
+}
+
+// releaseHeld says the releases that are held no longer: their requests are over, and nothing of them runs at the server.
+func (p *pool) releaseHeld(s *server) {
+	for id := range s.held {
+		if p.n.waits(id) {
+			continue
+		}
+		delete(s.held, id)
+		if !s.runs(id) {
+			s.releases.Add(id, struct{}{}, p.n.now())
+		}
+	}
+	p.sendReleases(s)
+}
+
 // sendReleases hands what waits for a server to one of its connections. Without one, watch has one opened.
 func (p *pool) sendReleases(s *server) {
 	if !s.releases.HasWaiting() {
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -116,6 +116,13 @@
 	return s.left
 }
 
+// waits tells whether its answer is still owed.
+func (s *session) waits() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.left && !s.said && !s.adopted
+}
+
 // mayBegin tells whether an attempt may begin for it.
 func (s *session) mayBegin() bool {
 	s.mu.Lock()
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -44,6 +44,7 @@
 	for _, s := range p.byID {
 		p.closeSurplus(s, now)
 		p.expire(s, now)
+		p.releaseHeld(s)
 		if len(s.standing) == 0 && !s.releases.HasWaiting() {
 			continue
 		}
