--- a/control/message.go
+++ b/control/message.go
@@ -8,8 +8,8 @@
 )
 
 // Messages between fronts are short texts of base-64 digits: a kind that also tells the version, the
-// sender's stamp, then fields. Whom to ask, how long
-// to wait, and what a report weighs is decided in control.go; here they are written, read and kept.
+// sender's stamp, then fields. Whom to ask and how long to wait is decided in keepers.go, what a report weighs in
+// load.go; here they are written, read and kept.
 
 // messageKind is the first letter of a message. A later version takes other letters.
 type messageKind byte
--- /dev/null
+++ b/control/slowstart.go
@@ -0,0 +1,37 @@
+package control
+
+// The pace of set-ups at servers that started a short time ago.
+
+import "time"
+
+// paceAllows splits the pace that a freshly started server stands over all fronts: each has one set-up for
+// so many of the fleet's as there are fronts, and waits a random part of them before its first, so that the
+// fronts do not come together when they are told. The pace is summed up over the wait: taken as it is at the
+// end, it let hundreds of fronts send up to 1.6 times what was meant, since it rises meanwhile.
+// It acts too on a server that broke and may be back, cold, before the list says so; without an answer
+// that ends a ramp after the last failure. Harm: a server that merely hung gets work back slowly.
+func (c *Controller) paceAllows(s *server) bool {
+	broke := s.broke && c.now-s.failedAt < c.set.Ramp
+	if c.set.Ramp <= 0 || !broke && (s.coldFrom == 0 || c.now-s.coldFrom >= c.set.Ramp) {
+		return true
+	}
+	share := func(at time.Duration) float64 {
+		if broke {
+			return c.set.StartShare
+		}
+		return c.set.StartShare + (1-c.set.StartShare)*max(0, float64(at-s.coldFrom))/float64(c.set.Ramp)
+	}
+	from := max(s.pacedFrom, s.lastSend)
+	perSecond := float64(max(c.streams(s), 1)) / c.set.Ramp.Seconds() * coldMargin * max(c.set.FallFactor, 1)
+	fleets := perSecond * (share(from) + share(c.now)) / 2 * (c.now - from).Seconds()
+	return fleets >= s.gapPart*float64(c.set.Fronts)
+}
+
+// pace starts the pacing of a server. What was sent there within a ramp counts: a front that saw it fail and
+// took a new part at once would have come sooner than its turn.
+func (c *Controller) pace(s *server) {
+	s.pacedFrom, s.gapPart = c.now, 1
+	if s.lastSend == 0 || c.now-s.lastSend > c.set.Ramp {
+		s.gapPart = c.rng.Float64()
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -116,7 +116,7 @@
 
 func (c *Controller) act(a Action) { c.out = append(c.out, a) }
 
-// server is what one front knows of one server. Judgements on it live in control.go.
+// server is what one front knows of one server. What is concluded from it lives in load.go and placement.go.
 type server struct {
 	Server
 	rack     int
