A server's answer is handed on before its reader looks at the socket again

The reader gives its turn away once a set-up's answer is delivered, and the connection is put back behind the owner's hearing of it: one system call, one lock and one reading of the clock less between a server's answer and the viewer's. Tests of node, core and edge green. The gain is not measured yet.

--- a/internal/core/act.go
+++ b/internal/core/act.go
@@ -106,6 +106,9 @@
 	limited, stop := context.WithDeadlineCause(ctx, until, errTimedOut)
 	defer stop()
 	res := o.Carrier.SetUp(limited, a)
+	if res.Done != nil {
+		defer res.Done()
+	}
 	if res.Outcome == control.Failed || res.Outcome == control.Reset {
 		switch cause := context.Cause(limited); { // closing the connection looks like a reset
 		case errors.Is(cause, errTimedOut):
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -74,6 +74,7 @@
 	Outcome control.Outcome // Served: it plays
 	Load    *control.Load
 	Setup   any
+	Done    func() // if set, called once the owner has been told: what need not be ahead of the answer
 }
 
 // Carrier carries out actions. SetUp runs in a goroutine of its own and returns when the attempt is no
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -55,7 +55,7 @@
 		l.say(jsonlines.Open, a.ID, v.attrs(attrs[:0], p.n.patience(ctx), a.Rung), -1, v.text)
 		select {
 		case r := <-l.reply:
-			p.free(l)
+			r.Done = func() { p.free(l) }
 			return r
 		case <-ctx.Done():
 			return p.giveUp(ctx, l, a)
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"log/slog"
+	"runtime"
 
 	"rainpulley/control"
 	"rainpulley/internal/core"
@@ -23,7 +24,9 @@
 			p.close(l, verdict == socketerror.ClosedHere || verdict == socketerror.PeerClosed)
 			return
 		}
-		p.handle(l, m)
+		if p.handle(l, m) {
+			runtime.Gosched() // the answer goes on its way first, the next look at this socket can wait
+		}
 	}
 }
 
@@ -34,8 +37,8 @@
 // ends are causes of a close after it.
 var ends = map[int]control.Outcome{jsonlines.CauseEnd: control.Served, jsonlines.CauseCancelled: control.Cancelled}
 
-// handle takes one message of a server.
-func (p *pool) handle(l *link, m *jsonlines.Message) {
+// handle takes one message of a server. It tells whether that ended the set-up on the link.
+func (p *pool) handle(l *link, m *jsonlines.Message) (answered bool) {
 	load := wire.Load(m.Figures("load"))
 	p.mu.Lock()
 	l.heard = p.n.now()
@@ -50,7 +53,7 @@
 			r.Setup = *m.Text
 			l.s.standing[m.ID] = true
 		}
-		l.deliver(r)
+		answered = l.deliver(r)
 		p.mu.Unlock()
 	case m.Type == jsonlines.Probed && mine && l.probe:
 		r := core.Result{Outcome: control.Failed, Load: load}
@@ -64,7 +67,7 @@
 		if !ok {
 			o = control.Reset
 		}
-		l.deliver(core.Result{Outcome: o, Load: load})
+		answered = l.deliver(core.Result{Outcome: o, Load: load})
 		p.mu.Unlock()
 	case m.Type == jsonlines.Close:
 		p.mu.Unlock()
@@ -81,6 +84,7 @@
 	default:
 		p.mu.Unlock()
 	}
+	return answered
 }
 
 // sessionEnded takes a server's release of a session that stands, or that this node does not know yet.
