--- a/internal/node/giveup_test.go
+++ b/internal/node/giveup_test.go
@@ -113,3 +113,32 @@
 	v.silent()
 	n.agree(1)
 }
+
+// TestLateEndSparesSession: a server ends a set-up that was given up, on that one's connection, while a later attempt of
+// the same request stands there. The session that stands plays on, and its own end is passed on.
+func TestLateEndSparesSession(t *testing.T) {
+	opened, done := make(chan said, 2), make(chan struct{})
+	b := newBox(t, "s-1", func(m said) {
+		if m.Type != jsonlines.Open {
+			return
+		}
+		opened <- m
+		if len(opened) < 2 {
+			<-done // it reads nothing more of the first connection, and does not close it
+		}
+	})
+	defer close(done)
+	n := startNode(t, b)
+	v := n.dial().say(setUp(idA, "free", ""))
+	eventually(t, "two attempts", func() bool { return len(opened) == 2 }) // the first one's time runs out
+	first, second := <-opened, <-opened
+	ready(second)
+	v.want(idA, 200)
+	first.on.say(`{"msg":"close","sid":%q,"attrs":{},"code":%d}`, idA, jsonlines.CauseCancelled)
+	first.on.say(`{"msg":"close","sid":%q,"attrs":{},"code":%d}`, idA, jsonlines.CauseEnd)
+	v.silent()
+	n.agree(1)
+	second.endServed()
+	v.wantRelease(idA, "cause=16")
+	n.agree(0)
+}
