--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -228,6 +228,11 @@
 	l.gaveUp = append(l.gaveUp, givenUp{id, now})
 }
 
+// gaveUpOn tells whether a set-up was given up on a link a short time ago.
+func (l *link) gaveUpOn(id string) bool {
+	return slices.ContainsFunc(l.gaveUp, func(g givenUp) bool { return g.id == id })
+}
+
 // repeatGiveUps has a server told again, on another connection, to give up what it may not have heard of on one that has
 // broken: it may have answered, and the session would stand there for nobody.
 func (p *pool) repeatGiveUps(l *link) {
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -69,6 +69,8 @@
 		}
 		answered = l.deliver(core.Result{Outcome: o, Load: load})
 		p.mu.Unlock()
+	case m.Type == jsonlines.Close && l.gaveUpOn(m.ID): // of that attempt; a later one may stand
+		p.mu.Unlock()
 	case m.Type == jsonlines.Close:
 		p.mu.Unlock()
 		p.sessionEnded(l, m, load)
