--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -283,6 +283,9 @@
 		t.Fatalf("answer %+v", a)
 	}
 	e.close()
+	stepped := make(chan struct{})
+	r.Inspect(func() { close(stepped) }) // the step that closed the request goes on to its last action
+	<-stepped
 	if n := r.Stats.Moot.Load(); n != 4 {
 		t.Errorf("%d moot, want 4; %s", n, r.events())
 	}
