A change of the list costs what it tells: no sorting of thousands for one server

The module sorted all servers and named all of them anew at each change; what is told is merged into their order now (serverlist.go). The pool looks for replaced addresses among servers that have gone only. TestListInOrder (property) holds order, names and states; the recorded replies of the wire test hold.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -570,7 +570,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	others := []string{"api.go", "message.go", "state.go"}
+	others := []string{"api.go", "message.go", "serverlist.go", "state.go"}
 	for _, name := range files {
 		if strings.HasSuffix(name, "_test.go") {
 			continue
--- a/control/cost_test.go
+++ b/control/cost_test.go
@@ -62,3 +62,18 @@
 		})
 	}
 }
+
+// BenchmarkListChange is one server that changes its state, told alone.
+func BenchmarkListChange(b *testing.B) {
+	for _, servers := range []int{200, 3200} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			c := wideFleet(b, servers)
+			states := []State{Draining, Ready}
+			b.ResetTimer()
+			for i := range b.N {
+				id := fmt.Sprintf("s-%04d", i%servers)
+				c.Step(time.Duration(i)*time.Millisecond, []Event{ListUpdate{Servers: []Server{{ID: id, State: states[i/servers%2], Cell: i % 8, Weight: 1}}}})
+			}
+		})
+	}
+}
--- a/control/list.go
+++ b/control/list.go
@@ -13,9 +13,9 @@
 		return
 	}
 	c.forgetGone()
-	c.order, c.meanKnown = merge(c.known, u), false
-	for _, s := range c.order {
-		c.marks[markOf(s.ID)] = s
+	c.meanKnown = false
+	for _, s := range c.merge(u) {
+		c.mark(s)
 		if s.Started > 0 && s.Started > s.coldFrom {
 			s.coldFrom = s.Started
 			c.pace(s)
--- /dev/null
+++ b/control/serverlist_test.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestListInOrder: after any course of whole lists and changes, with servers that are gone for long forgotten, the servers
+// are those known, in order of their ids, each as it was told last, and each short name belongs to one of its servers.
+func TestListInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, err := New(settings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		last := map[string]Server{}
+		now := time.Second
+		for range rapid.IntRange(1, 12).Draw(t, "updates") {
+			u := ListUpdate{Whole: rapid.Bool().Draw(t, "whole")}
+			if u.Whole {
+				for id, s := range last {
+					s.State = Gone
+					last[id] = s
+				}
+			}
+			for range rapid.IntRange(0, 8).Draw(t, "entries") {
+				s := Server{ID: fmt.Sprint("s", rapid.IntRange(0, 15).Draw(t, "id")), State: State(rapid.IntRange(0, 2).Draw(t, "state")), Weight: 1,
+					Cell: rapid.IntRange(0, 3).Draw(t, "cell")}
+				u.Servers = append(u.Servers, s)
+				last[s.ID] = s
+			}
+			c.Step(now, []Event{u})
+			if !slices.IsSortedFunc(c.order, byID) || len(c.order) != len(c.known) {
+				t.Fatalf("%d in order of %d known", len(c.order), len(c.known))
+			}
+			for _, s := range c.order {
+				if c.known[s.ID] != s || s.Server != last[s.ID] {
+					t.Fatalf("%+v, told last %+v", s.Server, last[s.ID])
+				}
+				if holder := c.marks[markOf(s.ID)]; holder == nil || c.known[holder.ID] != holder {
+					t.Fatalf("short name of %s belongs to nobody known", s.ID)
+				}
+			}
+			for id, s := range last {
+				if c.known[id] == nil && s.State != Gone {
+					t.Fatalf("%s is not known", id)
+				}
+			}
+			now += time.Duration(rapid.IntRange(0, 90).Draw(t, "seconds")) * time.Second
+		}
+	})
+}
--- a/control/state.go
+++ b/control/state.go
@@ -253,29 +253,6 @@
 	return times[i:]
 }
 
-// merge applies a list update and returns the servers in order of their ids.
-func merge(known map[string]*server, u ListUpdate) []*server {
-	if u.Whole {
-		for _, s := range known {
-			s.State = Gone
-		}
-	}
-	for _, line := range u.Servers {
-		s := known[line.ID]
-		if s == nil {
-			s = &server{}
-			known[line.ID] = s
-		}
-		s.Server = line
-	}
-	order := make([]*server, 0, len(known))
-	for _, s := range known {
-		order = append(order, s)
-	}
-	slices.SortFunc(order, func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
-	return order
-}
-
 // Own is the number of own sessions that the module believes to be at a server, set-ups too. For comparison with
 // what passes on the sockets.
 func (c *Controller) Own(server string) int {
@@ -285,24 +262,6 @@
 	return 0
 }
 
-// forgetGone drops servers that are gone for long and run nothing any more: where servers are replaced by new
-// ones all day, they would grow without end.
-func (c *Controller) forgetGone() {
-	for id, s := range c.known {
-		switch {
-		case s.State != Gone:
-			s.goneSeen = 0
-		case s.goneSeen == 0:
-			s.goneSeen = c.now
-		case c.now-s.goneSeen > keepGone && len(s.held) == 0:
-			delete(c.known, id)
-			if c.marks[markOf(id)] == s {
-				delete(c.marks, markOf(id))
-			}
-		}
-	}
-}
-
 // holds reports whether the server's cell is one of span in a row from home.
 func (s *server) holds(home, span, cells int) bool {
 	if cells <= 0 || span <= 0 {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -114,15 +114,21 @@
 
 // loseReplaced ends the sessions of servers that have gone and whose address another listed server has got.
 func (p *pool) loseReplaced() {
-	listed := make(map[string]bool, len(p.byID))
+	gone := map[string][]*server{} // by address; few, where a list may be long
 	for _, s := range p.byID {
-		if s.state != control.Gone {
-			listed[s.addr] = true
+		if s.state == control.Gone {
+			gone[s.addr] = append(gone[s.addr], s)
 		}
 	}
+	if len(gone) == 0 {
+		return
+	}
 	for _, s := range p.byID {
-		if s.state == control.Gone && listed[s.addr] {
-			p.lose(s, "its address is another's")
+		if s.state == control.Gone {
+			continue
+		}
+		for _, replaced := range gone[s.addr] {
+			p.lose(replaced, "its address is another's")
 		}
 	}
 }
