--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -48,10 +48,10 @@
 }
 
 const (
-	wait       = time.Second            // asked for; short, so that a coordinator gone silent is asked again soon
-	patience   = 400 * time.Millisecond // beyond it a poll is given up
-	retryFirst = 50 * time.Millisecond
-	retryMost  = time.Second
+	pollWait   = time.Second            // asked for; short, so that a coordinator gone silent is asked again soon
+	pollSlack  = 400 * time.Millisecond // beyond it a poll is given up
+	firstRetry = 50 * time.Millisecond
+	maxRetry   = time.Second
 
 	// maxAnswer bounds an answer in bytes. A list of 1,024 servers has about 200 kB; a history from the first event on, as
 	// it is asked for after a gap, has every change of each of them.
@@ -101,7 +101,7 @@
 func New(addr string, held int64, connect time.Duration, log *slog.Logger, take func([]Update) error) *Follower {
 	l := http1.DefaultLimits()
 	l.Body = maxAnswer
-	l.HeadFor, l.BodyFor, l.IdleFor = wait+patience, wait+patience, wait+patience
+	l.HeadFor, l.BodyFor, l.IdleFor = pollWait+pollSlack, pollWait+pollSlack, pollWait+pollSlack
 	return &Follower{Take: take, Log: log, addr: addr, held: held, client: http1.Client{Limits: l, Connect: connect}}
 }
 
@@ -124,13 +124,13 @@
 
 // Run follows until ctx ends. What cannot be read changes nothing and is asked for anew.
 func (f *Follower) Run(ctx context.Context) {
-	pause := retryFirst
+	pause := firstRetry
 	for ctx.Err() == nil {
 		asked := time.Now()
 		fresh, moved, err := f.poll(ctx)
 		switch {
-		case err == nil && (fresh || time.Since(asked) >= wait/2):
-			pause = retryFirst
+		case err == nil && (fresh || time.Since(asked) >= pollWait/2):
+			pause = firstRetry
 			continue
 		case ctx.Err() != nil:
 			return
@@ -143,7 +143,7 @@
 			case <-ctx.Done():
 			case <-time.After(pause/2 + rand.N(pause)):
 			}
-			pause = min(2*pause, retryMost)
+			pause = min(2*pause, maxRetry)
 		}
 	}
 }
@@ -160,12 +160,12 @@
 	if all {
 		from = 0
 	}
-	inner, cancel := context.WithTimeoutCause(ctx, wait+patience, errSilent)
+	inner, cancel := context.WithTimeoutCause(ctx, pollWait+pollSlack, errSilent)
 	f.redial = cancel
 	f.mu.Unlock()
 	defer cancel()
 	p, err := f.client.Do(inner, addr, "GET", "/v2/stream?follow="+strconv.FormatInt(from, 10)+"&wait_ms="+
-		strconv.FormatInt(wait.Milliseconds(), 10), nil, nil)
+		strconv.FormatInt(pollWait.Milliseconds(), 10), nil, nil)
 	var u Updates
 	switch {
 	case err != nil:
--- a/internal/coordinator/crossing_test.go
+++ b/internal/coordinator/crossing_test.go
@@ -171,7 +171,7 @@
 			if got := next(t, "an answer after the silence", took); got != "whole=false after:up" {
 				t.Error(got)
 			}
-			if d := time.Since(began); d > wait+patience+time.Second {
+			if d := time.Since(began); d > pollWait+pollSlack+time.Second {
 				t.Errorf("given up after %v", d)
 			}
 			if got := next(t, "third poll", polls); !strings.Contains(got, "follow=8&") {
--- a/internal/jsonlines/jsonlines.go
+++ b/internal/jsonlines/jsonlines.go
@@ -14,8 +14,8 @@
 	"unicode/utf8"
 )
 
-// Most is the longest line in bytes, its end included.
-const Most = 16 << 10
+// MaxLine is the longest line in bytes, its end included.
+const MaxLine = 16 << 10
 
 // Types of messages that a front node acts on or sends; others are skipped.
 const (
@@ -95,7 +95,7 @@
 func Read(r *bufio.Reader) (*Message, error) {
 	line, err := r.ReadSlice('\n')
 	switch {
-	case errors.Is(err, bufio.ErrBufferFull) || len(line) > Most:
+	case errors.Is(err, bufio.ErrBufferFull) || len(line) > MaxLine:
 		return nil, fmt.Errorf("%w: too long", ErrSpoilt)
 	case err != nil:
 		return nil, err
--- a/internal/jsonlines/jsonlines_test.go
+++ b/internal/jsonlines/jsonlines_test.go
@@ -30,12 +30,12 @@
 func TestSpoilt(t *testing.T) {
 	for _, line := range []string{"noise\n", "{}\n", "\n", `{"msg":"ready"` + "\n", `{"msg":"ready","sid":4}` + "\n", `{"msg":"ready","text":"a` + "\xff" + `"}` + "\n",
 		`{"msg":"ready","text":"\ud800"}` + "\n", `{"msg":"ready"}{}` + "\n", `[1]` + "\n", `{"msg":"ready","attrs":3}` + "\n",
-		`{"msg":"ready","text":"` + strings.Repeat("a", Most) + "\"}\n", strings.Repeat("x", 2*Most)} {
-		if _, err := Read(bufio.NewReaderSize(strings.NewReader(line), Most)); !errors.Is(err, ErrSpoilt) {
+		`{"msg":"ready","text":"` + strings.Repeat("a", MaxLine) + "\"}\n", strings.Repeat("x", 2*MaxLine)} {
+		if _, err := Read(bufio.NewReaderSize(strings.NewReader(line), MaxLine)); !errors.Is(err, ErrSpoilt) {
 			t.Errorf("%.40q: %v", line, err)
 		}
 	}
-	if _, err := Read(bufio.NewReaderSize(strings.NewReader(`{"msg":"rea`), Most)); err == nil {
+	if _, err := Read(bufio.NewReaderSize(strings.NewReader(`{"msg":"rea`), MaxLine)); err == nil {
 		t.Error("half a line read")
 	}
 }
@@ -59,7 +59,7 @@
 		if !json.Valid(b) || !utf8.Valid(b) || strings.Count(string(b), "\n") != 1 {
 			t.Fatalf("%q", b)
 		}
-		if len(b) > Most {
+		if len(b) > MaxLine {
 			return
 		}
 		again, err := Parse(b)
@@ -73,7 +73,7 @@
 func TestSplitAtEveryBoundary(t *testing.T) {
 	const text = `{"msg":"ready","sid":"9b","attrs":{"load":"x0:1"},"text":"a\r\n\"ü\""}` + "\n" + `{"msg":"close","sid":"9c","attrs":{},"code":34}` + "\n"
 	for at := 1; at < len(text); at++ {
-		r := bufio.NewReaderSize(io.MultiReader(strings.NewReader(text[:at]), strings.NewReader(text[at:])), Most)
+		r := bufio.NewReaderSize(io.MultiReader(strings.NewReader(text[:at]), strings.NewReader(text[at:])), MaxLine)
 		first, err := Read(r)
 		if err != nil || first.Type != Ready || first.ID != "9b" || first.Text == nil || *first.Text != "a\r\n\"ü\"" {
 			t.Errorf("split at byte %d: %+v, %v", at, first, err)
--- a/internal/node/accepted_test.go
+++ b/internal/node/accepted_test.go
@@ -64,9 +64,15 @@
 func startProcess(t *testing.T, b *box) *process {
 	t.Helper()
 	f := newFeed(t, []coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true, Servers: []coordinator.Entry{b.entry("up")}}}})
+	return startChild(t, 256, f.Listener.Addr().String(), f.all)
+}
+
+// startChild starts a node in a process of its own that may have so many descriptors.
+func startChild(t *testing.T, sockets int, coordinatorAt string, known []coordinator.Update) *process {
+	t.Helper()
 	at := listenAddress(t)
-	raw, err := json.Marshal(map[string]any{"name": "n0", "listen": at, "seed": "0a", "limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256},
-		"coordinator": f.Listener.Addr().String(), "known": coordinator.Updates{Index: 1, Updates: f.all}, "settings": json.RawMessage(defaultSettings)})
+	raw, err := json.Marshal(map[string]any{"name": "n0", "listen": at, "seed": "0a", "limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": sockets},
+		"coordinator": coordinatorAt, "known": coordinator.Updates{Index: 1, Updates: known}, "settings": json.RawMessage(defaultSettings)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -27,7 +27,7 @@
 			}
 			go func() {
 				defer c.Close()
-				r := bufio.NewReaderSize(c, jsonlines.Most)
+				r := bufio.NewReaderSize(c, jsonlines.MaxLine)
 				var out []byte
 				for {
 					line, err := r.ReadSlice('\n')
--- a/internal/node/clockwatch.go
+++ b/internal/node/clockwatch.go
@@ -7,31 +7,31 @@
 )
 
 const (
-	// clockInterval is the time between two looks at the clocks.
+	// clockInterval is the time between two samples of the clocks.
 	clockInterval = 100 * time.Millisecond
-	// pauseThreshold is how late a look has to be to count as a pause of the whole process.
+	// pauseThreshold is how late a sample has to be to count as a pause of the whole process.
 	pauseThreshold = 150 * time.Millisecond
-	// clockStepThreshold is how far the wall clock has to leave the monotonic one between two looks to count as stepped.
+	// clockStepThreshold is how far the wall clock has to leave the monotonic one between two samples to count as stepped.
 	clockStepThreshold = 250 * time.Millisecond
 	// catchUp is how long after a pause what came during it may still be read.
 	catchUp = 500 * time.Millisecond
-	// nearMissLooks is after how many looks at the clocks new near misses are logged: every 2 s.
-	nearMissLooks = 20
+	// nearMissSamples is after how many samples of the clocks new near misses are logged: every 2 s.
+	nearMissSamples = 20
 )
 
-// clockWatch notices between periodic looks that the process stood still or that the wall clock was stepped. A span of
+// clockWatch notices between periodic samples that the process stood still or that the wall clock was stepped. A span of
 // time in which the process stood still proves nothing about peers, and what is read behind it may have come at any
 // moment of it.
 type clockWatch struct {
 	mu         sync.Mutex
-	last       time.Time // of the last look
-	pauseStart time.Time // of the last pause: the look before it
+	last       time.Time // of the last sample
+	pauseStart time.Time // of the last pause: the sample before it
 	pauseEnd   time.Time
 }
 
-// look takes the present time and returns how long the process paused beyond the interval, and by how much the wall clock
+// sample takes the present time and returns how long the process paused beyond the interval, and by how much the wall clock
 // was stepped, each zero if not worth telling.
-func (w *clockWatch) look(now time.Time) (pause, step time.Duration) {
+func (w *clockWatch) sample(now time.Time) (pause, step time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	last := w.last
@@ -58,7 +58,7 @@
 }
 
 // pausedSince tells whether the process paused at some moment between from and now, and when that pause began at the
-// earliest. It does not wait for the next look.
+// earliest. It does not wait for the next sample.
 func (w *clockWatch) pausedSince(from, now time.Time) (start time.Time, paused bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -97,9 +97,9 @@
 // watchClocks logs pauses of the process and steps of the wall clock, and now and then what came close to a loss: a node
 // that is killed writes no last line.
 func (n *Node) watchClocks(ctx context.Context) {
-	logged, looks := n.near.sum(), 0
+	logged, samples := n.near.sum(), 0
 	every(ctx, clockInterval, func() {
-		pause, step := n.clocks.look(time.Now())
+		pause, step := n.clocks.sample(time.Now())
 		if pause > 0 {
 			n.near.pauses.Add(1)
 			n.Log.Warn("process paused", "for", pause)
@@ -108,7 +108,7 @@
 			n.near.clockSteps.Add(1)
 			n.Log.Warn("wall clock stepped", "by", step)
 		}
-		if looks++; looks%nearMissLooks == 0 && n.near.sum() != logged {
+		if samples++; samples%nearMissSamples == 0 && n.near.sum() != logged {
 			logged = n.near.sum()
 			n.Log.Info("near misses so far", "near", &n.near)
 		}
--- a/internal/node/clockwatch_test.go
+++ b/internal/node/clockwatch_test.go
@@ -31,23 +31,23 @@
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	var w clockWatch
 	if got := w.arrival(at(0), at(5)); !got.Equal(at(5)) {
-		t.Error("ahead of the first look nothing is known of pauses")
+		t.Error("ahead of the first sample nothing is known of pauses")
 	}
-	w.look(at(0))
-	w.look(at(100))
+	w.sample(at(0))
+	w.sample(at(100))
 	for _, c := range []struct {
 		name            string
 		from, now, want int
 	}{
 		{"no pause", 90, 150, 150},
 		{"not noticed yet", 90, 2100, 100},
-		{"not noticed yet, reader came later than the last look", 120, 2100, 120},
+		{"not noticed yet, reader came later than the last sample", 120, 2100, 120},
 	} {
 		if got := w.arrival(at(c.from), at(c.now)); !got.Equal(at(c.want)) {
 			t.Errorf("%s: %v, want %d ms", c.name, got.Sub(start), c.want)
 		}
 	}
-	w.look(at(2100))
+	w.sample(at(2100))
 	for _, c := range []struct {
 		name            string
 		from, now, want int
@@ -56,7 +56,7 @@
 		{"began to wait behind it", 2105, 2110, 2110},
 		{"read long after it", 90, 2100 + int(catchUp.Milliseconds()) + 1, 2601},
 	} {
-		w.last = at(c.now) // the looks go on
+		w.last = at(c.now) // sampling goes on
 		if got := w.arrival(at(c.from), at(c.now)); !got.Equal(at(c.want)) {
 			t.Errorf("%s: %v, want %d ms", c.name, got.Sub(start), c.want)
 		}
--- a/internal/node/descriptor_test.go
+++ b/internal/node/descriptor_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,14 +9,11 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
 
 	"rainpulley/internal/coordinator"
-	"rainpulley/internal/rtsp"
 )
 
 const helperConfig = "NODE_TEST_CONFIG"
@@ -56,37 +52,16 @@
 		t.Fatal(err)
 	}
 	defer spare.Close()
-	at := listenAddress(t)
-	known := []coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true, Servers: []coordinator.Entry{a.entry("up")}}}}
-	raw, err := json.Marshal(map[string]any{"name": "n0", "listen": at, "seed": "0a", "limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": sockets},
-		"coordinator": spare.Addr().String(), "known": coordinator.Updates{Index: 1, Updates: known}, "settings": json.RawMessage(defaultSettings)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, raw, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	child := exec.Command(os.Args[0], "-test.run=NONE")
-	child.Env, child.Stderr = append(os.Environ(), helperConfig+"="+path), os.Stderr
-	if err := child.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer func() {
-		_ = child.Process.Signal(syscall.SIGTERM)
-		if err := child.Wait(); err != nil {
-			t.Error(err)
-		}
-	}()
+	child := startChild(t, sockets, spare.Addr().String(),
+		[]coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true, Servers: []coordinator.Entry{a.entry("up")}}}})
 	var all []net.Conn
 	dial := func() *dialogue {
-		var c net.Conn
-		eventually(t, "a connection", func() bool { var err error; c, err = net.Dial("tcp", at); return err == nil })
-		all = append(all, c)
-		return &dialogue{c, t, rtsp.NewReader(bufio.NewReaderSize(c, 4<<10))}
+		d := child.dial()
+		all = append(all, d.Conn)
+		return d
 	}
 	descriptors := func() int {
-		all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", child.Process.Pid))
+		all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", child.Pid))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/localtrouble_test.go
+++ b/internal/node/localtrouble_test.go
@@ -140,7 +140,6 @@
 	mu      sync.Mutex
 	numbers []syscall.Errno
 	in, out bytes.Buffer
-	closed  bool
 }
 
 func (c *troubledConn) trouble() error {
--- a/internal/node/nearmiss.go
+++ b/internal/node/nearmiss.go
@@ -11,11 +11,11 @@
 	answersUnsent    atomic.Int64 // their connection was over, and no viewer was known to have left
 	closedUnanswered atomic.Int64 // requests open on connections that this side closed
 	viewersRefused   atomic.Int64 // connections accepted and closed unread
-	viewersDelayed   atomic.Int64 // looks for room in vain: all connections waited for answers
+	viewersDelayed   atomic.Int64 // tries to make room in vain: all connections waited for answers
 	lateAnswers      atomic.Int64 // in the last tenth of their time, or after it
 	viewersClosed    atomic.Int64 // connections closed to make room for others
 	placesMissing    atomic.Int64 // set-ups without a descriptor for their connection
-	checksDeferred   atomic.Int64 // looks at a server with sessions that had to wait for a descriptor
+	checksDeferred   atomic.Int64 // checks of a server with sessions that had to wait for a descriptor
 	noticesResent    atomic.Int64 // to viewers, as their connection ended before they were confirmed
 	noticesLate      atomic.Int64 // sent more than a second after the end of their session
 	noticesExpired   atomic.Int64 // never sent
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -88,7 +88,7 @@
 		"noise": func(m said) { m.on.say("\x00\x01 noise") },
 		"half":  func(m said) { m.on.say(`{"msg":"ready","sid":%q,"text":"a`, m.ID) },
 		"endless": func(m said) {
-			m.on.say(`{"msg":"ready","sid":%q,"text":"%s`, m.ID, strings.Repeat("x", 3*jsonlines.Most))
+			m.on.say(`{"msg":"ready","sid":%q,"text":"%s`, m.ID, strings.Repeat("x", 3*jsonlines.MaxLine))
 		},
 		"break":    func(m said) { _, _ = io.WriteString(m.on, `{"msg":"re`); _ = m.on.Close() },
 		"no text":  func(m said) { m.on.say(`{"msg":"ready","sid":%q}`, m.ID) },
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -15,7 +15,7 @@
 
 // read takes what a server says on one connection until it ends.
 func (p *pool) read(l *link) {
-	r := bufio.NewReaderSize(&timedReader{conn: l.conn}, jsonlines.Most)
+	r := bufio.NewReaderSize(&timedReader{conn: l.conn}, jsonlines.MaxLine)
 	for {
 		m, err := jsonlines.Read(r)
 		if err != nil {
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -100,7 +100,7 @@
 
 func (b *box) read(p *peer) {
 	defer p.Close()
-	r := bufio.NewReaderSize(p, jsonlines.Most)
+	r := bufio.NewReaderSize(p, jsonlines.MaxLine)
 	for {
 		m, err := jsonlines.Read(r)
 		if err != nil {
--- a/internal/node/timedreader.go
+++ b/internal/node/timedreader.go
@@ -16,12 +16,12 @@
 
 	mu       sync.Mutex
 	deadline time.Time // zero: none
-	grace    bool      // the deadline has passed, and a last look is under way
+	grace    bool      // the deadline has passed, and what was there already is still read
 }
 
 const (
-	// lateLook is how long a reader looks on behind its deadline for what was there already.
-	lateLook = 50 * time.Millisecond
+	// lateReadGrace is how long a reader reads on behind its deadline for what was there already.
+	lateReadGrace = 50 * time.Millisecond
 	// promptExpiry is how late a reader that ran all the time hears of its deadline at most.
 	promptExpiry = 50 * time.Millisecond
 	// retryPause is the time between two tries of a call that this machine could not make.
@@ -48,7 +48,7 @@
 		}
 		switch socketerror.Judge(err, socketerror.Transfer) {
 		case socketerror.DeadlineExceeded:
-			if !r.lookAgain(time.Now()) {
+			if !r.readOn(time.Now()) {
 				return 0, err
 			}
 		case socketerror.LocalMoment, socketerror.LocalDescriptors:
@@ -65,9 +65,9 @@
 	}
 }
 
-// lookAgain gives a read whose deadline has passed one more short look, and another one where the process was late to
+// readOn gives a read whose deadline has passed a short grace, and another one where the process was late to
 // notice the end of it. It tells whether to read on.
-func (r *timedReader) lookAgain(now time.Time) bool {
+func (r *timedReader) readOn(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.deadline.IsZero() || now.Before(r.deadline) { // the deadline was moved while the read failed
@@ -76,7 +76,7 @@
 	if r.grace && now.Sub(r.deadline) < promptExpiry {
 		return false
 	}
-	r.deadline, r.grace = now.Add(lateLook), true
+	r.deadline, r.grace = now.Add(lateReadGrace), true
 	_ = r.conn.SetReadDeadline(r.deadline)
 	return true
 }
--- a/internal/node/viewers.go
+++ b/internal/node/viewers.go
@@ -50,7 +50,7 @@
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded) && quiet:
 			return
-		case errors.Is(err, os.ErrDeadlineExceeded): // from now on each look takes its time, on a busy core too
+		case errors.Is(err, os.ErrDeadlineExceeded): // from now on each accept takes its time, on a busy core too
 			quiet = true
 			_ = setDeadline(l, backlogQuiet)
 			continue
--- a/internal/rtsp/rtsp.go
+++ b/internal/rtsp/rtsp.go
@@ -16,10 +16,10 @@
 	"strings"
 )
 
-// Most is the size of the largest message, head and body together, in bytes.
-const Most = 16 << 10
+// MaxMessage is the size of the largest message, head and body together, in bytes.
+const MaxMessage = 16 << 10
 
-const mostHeaders = 32
+const maxHeaders = 32
 
 // Error is a message that cannot be read on; Status is the answer owed (RFC 2326, section 11).
 type Error struct {
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if length > Most-len(d.head) {
+	if length > MaxMessage-len(d.head) {
 		return nil, &Error{413, "message too large"}
 	}
 	if length == 0 {
@@ -104,7 +104,7 @@
 	for {
 		line, err := d.r.ReadSlice('\n')
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) || len(d.head)+len(line) > Most:
+		case errors.Is(err, bufio.ErrBufferFull) || len(d.head)+len(line) > MaxMessage:
 			return &Error{413, "head too large"}
 		case err != nil && len(d.head)+len(line) > 0:
 			return cut(err)
@@ -132,7 +132,7 @@
 	for rest != "" {
 		line, rest, _ = strings.Cut(rest, "\r\n")
 		name, value, ok := strings.Cut(line, ":")
-		if !ok || !isToken(name) || len(m.Headers) >= mostHeaders {
+		if !ok || !isToken(name) || len(m.Headers) >= maxHeaders {
 			return 0, bad("header line malformed")
 		}
 		value = strings.Trim(value, " \t")
--- a/internal/rtsp/rtsp_test.go
+++ b/internal/rtsp/rtsp_test.go
@@ -65,7 +65,7 @@
 		if err != nil {
 			return
 		}
-		if len(m.Body) > Most {
+		if len(m.Body) > MaxMessage {
 			t.Fatal("too large")
 		}
 		var headers []string
