--- /dev/null
+++ b/control/size_test.go
@@ -0,0 +1,51 @@
+package control
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// decisionFiles are the files that hold decisions, as deploy/balancer.toml lists them.
+var decisionFiles = []string{"keepers.go", "list.go", "load.go", "placement.go", "request.go", "room.go", "rungs.go", "slowstart.go", "tuning.go"}
+
+// TestModuleSize holds the limits on the files of the module, and that every file with decisions is listed as policy: a
+// file of the package is either listed, or one of interface, bookkeeping and messages.
+func TestModuleSize(t *testing.T) {
+	const maxLines, maxColumns = 480, 110
+	deploy, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	others := []string{"api.go", "message.go", "serverlist.go", "state.go"}
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		if listed := strings.Contains(string(deploy), `"control/`+name+`"`); listed != slices.Contains(decisionFiles, name) || !listed && !slices.Contains(others, name) {
+			t.Errorf("%s: listed as policy: %v", name, listed)
+		}
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines := 0
+		for n, line := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(line) != "" {
+				lines++
+			}
+			if w := len([]rune(strings.ReplaceAll(line, "\t", "    "))); w > maxColumns && slices.Contains(decisionFiles, name) {
+				t.Errorf("%s: line %d is %d columns wide", name, n+1, w)
+			}
+		}
+		if lines > maxLines {
+			t.Errorf("%s: %d lines that are not blank, %d at most", name, lines, maxLines)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/list_test.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"context"
+	"testing"
+
+	"rainpulley/control"
+	"rainpulley/internal/coordinator"
+	"rainpulley/internal/core"
+)
+
+// TestDrainCrossesSetUp: a drain told while the connection comes up sends the set-up elsewhere; told after the first
+// byte it changes nothing.
+func TestDrainCrossesSetUp(t *testing.T) {
+	a, b, g := newBox(t, "s-1", ready), newBox(t, "s-2", ready), newGate()
+	n := startGated(t, func(n *Node) {
+		n.beforeAdmission = func(id string) {
+			if id == idA {
+				g.pass(id)
+			}
+		}
+	}, a, b)
+	v := n.dial().say(setUp(idA, "paid", ""))
+	g.wait(t)
+	drained, other := a, b
+	n.pool.mu.Lock()
+	if len(n.pool.byID["s-2"].links) > 0 {
+		drained, other = b, a
+	}
+	n.pool.mu.Unlock()
+	n.feed.push(drained.entry("draining"))
+	eventually(t, "told", func() bool {
+		n.pool.mu.Lock()
+		defer n.pool.mu.Unlock()
+		return n.pool.byID[drained.id].state == control.Draining
+	})
+	close(g.open)
+	v.want(idA, 200)
+	if m := other.next(t, "open"); m.ID != idA || len(drained.heard) > 0 {
+		t.Errorf("%+v; the drained server heard %d lines", m.Message, len(drained.heard))
+	}
+	n.agree(1)
+}
+
+// TestWholeListCrossesSetUp: a whole list that leaves a server out is a drain of it too.
+func TestWholeListCrossesSetUp(t *testing.T) {
+	a, b := newBox(t, "s-1", nil), newBox(t, "s-2", ready)
+	n := startNode(t, a)
+	n.feed.mu.Lock()
+	n.feed.all = append(n.feed.all, coordinator.Update{Endpoints: &coordinator.Endpoints{Full: true, Servers: []coordinator.Entry{b.entry("up")}}})
+	n.feed.index++
+	close(n.feed.more)
+	n.feed.more = make(chan struct{})
+	n.feed.mu.Unlock()
+	eventually(t, "told", func() bool { n.pool.mu.Lock(); defer n.pool.mu.Unlock(); return n.pool.byID["s-2"] != nil })
+	n.dial().say(setUp(idA, "paid", "")).want(idA, 200)
+	if m := b.next(t, "open"); m.ID != idA || len(a.heard) > 0 {
+		t.Errorf("%+v; the one left out heard %d lines", m.Message, len(a.heard))
+	}
+	if r := n.pool.SetUp(context.Background(), core.Attempt{ID: idB, Server: "s-1", Listener: &session{n: n.Node}}); r.Outcome != control.Moot {
+		t.Errorf("to a server that has gone: %v", core.Name(r.Outcome))
+	}
+}
+
+// TestEndCrossesAdoption: after a restart a server says a session's end, once, on a connection that was opened for
+// something else, ahead of the viewer who names the session; behind it is the usual order.
+func TestEndCrossesAdoption(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startNode(t, b)
+	n.warm(b)
+	eventually(t, "accepted", func() bool { return b.accepted() == 1 })
+	b.mu.Lock()
+	on := b.conns[0]
+	b.mu.Unlock()
+	on.say(`{"msg":"close","sid":%q,"code":16}`, idA)
+	eventually(t, "the end heard", func() bool { n.pool.mu.Lock(); defer n.pool.mu.Unlock(); return len(n.pool.byID["s-1"].earlyEnds) == 1 })
+	v := n.dial().say(setUp(idA, "free", ";at:s-1"))
+	v.wantRelease(idA, "cause=16")
+	v.say(setUp(idB, "free", ";at:s-1"))
+	n.agree(1)
+	on.say(`{"msg":"close","sid":%q,"code":41}`, idB)
+	v.wantRelease(idB, "cause=41")
+	n.agree(0)
+}
+
+// TestAdoptedAtUnknownServer: a session at a server that no list names is ended in time; one whose server is listed a
+// moment later plays on.
+func TestAdoptedAtUnknownServer(t *testing.T) {
+	n := startNode(t, newBox(t, "s-1", nil))
+	v := n.dial().say(setUp(idA, "free", ";at:s-9"))
+	v.wantRelease(idA, "cause=41")
+	n.agree(0)
+	late := newBox(t, "s-8", nil)
+	n.pool.mu.Lock() // the detector waits until the list is there
+	v.say(setUp(idB, "free", ";at:s-8"))
+	n.feed.push(late.entry("up"))
+	n.pool.mu.Unlock()
+	eventually(t, "a connection", func() bool { return late.accepted() > 0 })
+	v.silent()
+	if n.owner.Stats.Open.Load() != 1 || n.find(idB) == nil {
+		t.Error("the session at the server that was listed late is gone")
+	}
+}
--- /dev/null
+++ b/internal/node/setup_test.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"bufio"
+	"strings"
+	"testing"
+	"time"
+
+	"rainpulley/control"
+	"rainpulley/internal/rtsp"
+)
+
+// TestTenantAndDedupe: a viewer's tenant and key of repeats reach module and server; what names no tenant of the settings
+// is refused.
+func TestTenantAndDedupe(t *testing.T) {
+	b := newBox(t, "s-1", ready)
+	n := startGated(t, func(n *Node) { n.Config.Set.Tenants = []control.Tenant{{Name: "one"}, {Name: "two"}} }, b)
+	with := func(id, more string) string {
+		return strings.Replace(setUp(id, "free", ""), "X-Cos", more+"X-Cos", 1)
+	}
+	v := n.dial().say(with(idA, "X-Operator: two\r\nX-Dedupe: key-1\r\n"))
+	v.want(idA, 200)
+	if m := b.next(t, "open"); m.Attr("idem") != "key-1" {
+		t.Errorf("%+v", m.Message)
+	}
+	v.say(with(idB, "X-Operator: three\r\n")).want(idB, 400)
+	m, err := rtsp.NewReader(bufio.NewReader(strings.NewReader(with(idC, "X-Operator: two\r\n")))).Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, _, wrong := n.readSetUp(m, time.Now()); r.Tenant != 1 || wrong != "" {
+		t.Errorf("tenant %d, %s", r.Tenant, wrong)
+	}
+	v.say(setUp(idC, "free", "")).want(idC, 200)
+	if m := b.next(t, "open"); m.Attr("idem") != "" {
+		t.Errorf("%+v", m.Message)
+	}
+}
