--- /dev/null
+++ b/internal/core/request_test.go
@@ -0,0 +1,209 @@
+package core
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"rainpulley/control"
+)
+
+func TestPlaysAndEnds(t *testing.T) {
+	r := start(t, 5, served, one(nil))
+	for _, how := range []string{"viewer left", "played out", "server lost"} {
+		e := r.ask(t, how, time.Second)
+		if a := e.answer(); a.Kind != Plays || a.Server != "a" || a.Rung != 2 {
+			t.Fatalf("answer %+v", a)
+		}
+		want := "ended cancelled false"
+		switch how {
+		case "viewer left":
+			r.Leave(how)
+		case "played out":
+			r.PlayedOut(how)
+			want = "ended served false"
+		case "server lost":
+			r.Lost("b", []string{how}) // another server's loss is not its own
+			r.Lost("a", []string{how})
+			want = "ended reset false"
+		}
+		e.close()
+		if len(e.heard) != 1 || e.heard[0] != want {
+			t.Errorf("%s: heard %v, want %s", how, e.heard, want)
+		}
+	}
+	if n := len(r.c.released); n != 2 {
+		t.Errorf("released %v: a lost server needs no release, the others do", r.c.released)
+	}
+	if n := r.Stats.Open.Load(); n != 0 {
+		t.Errorf("%d requests still open", n)
+	}
+}
+
+// An attempt that times out is closed before the next goes out, and the server is told to let it go.
+func TestTimeOutThenElsewhere(t *testing.T) {
+	setUp := func(ctx context.Context, a Attempt) Result {
+		if a.Server == "a" {
+			return hangs(ctx, a)
+		}
+		return Result{Outcome: control.Served}
+	}
+	r := start(t, 5, setUp, one(func(e control.Ended) []control.Action {
+		return []control.Action{control.Send{ID: e.ID, Server: "b"}}
+	}))
+	e := r.ask(t, "x", time.Second)
+	if a := e.answer(); a.Kind != Plays || a.Server != "b" || a.Attempt != 1 {
+		t.Fatalf("answer %+v; %s", a, r.events())
+	}
+	if got := r.events(); got != "ended a#0 timed out final=false; started b" {
+		t.Error(got)
+	}
+	if len(r.c.released) != 1 || r.c.released[0] != "x@a#0" {
+		t.Errorf("released %v", r.c.released)
+	}
+}
+
+// The module's mistakes do not reach servers: a second attempt beside one that is out, one too many, one
+// after the answer, and unknown requests end as moot.
+func TestMoot(t *testing.T) {
+	decide := func(_ time.Duration, e control.Event) []control.Action {
+		switch e := e.(type) {
+		case control.Request:
+			return []control.Action{control.Send{ID: e.ID, Server: "a", Timeout: 30 * time.Millisecond}, control.Send{ID: e.ID, Server: "b"},
+				control.Send{ID: "nobody", Server: "c"}}
+		case control.Ended:
+			if e.Outcome == control.TimedOut {
+				return []control.Action{control.Send{ID: e.ID, Server: "d"}, control.Fail{ID: e.ID}, control.Refuse{ID: e.ID},
+					control.Send{ID: e.ID, Server: "e"}}
+			}
+		}
+		return nil
+	}
+	r := start(t, 1, hangs, decide)
+	e := r.ask(t, "x", time.Second)
+	if a := e.answer(); a.Kind != Failed {
+		t.Fatalf("answer %+v", a)
+	}
+	e.close()
+	stepped := make(chan struct{})
+	r.Inspect(func() { close(stepped) }) // the step that closed the request goes on to its last action
+	<-stepped
+	if n := r.Stats.Moot.Load(); n != 4 {
+		t.Errorf("%d moot, want 4; %s", n, r.events())
+	}
+	if n := r.Stats.Attempts.Load(); n != 1 {
+		t.Errorf("%d attempts went out", n)
+	}
+}
+
+// A viewer that leaves while the set-up is out: the answer that crosses ends as cancelled, and is released.
+func TestLeaveCrossesAnswer(t *testing.T) {
+	release := make(chan struct{})
+	r := start(t, 5, func(context.Context, Attempt) Result { <-release; return Result{Outcome: control.Served} }, one(nil))
+	e := r.ask(t, "x", time.Second)
+	for r.Stats.Attempts.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	r.Leave("x")
+	close(release)
+	e.close()
+	if len(e.answers) != 0 || r.events() != "left; ended a#0 cancelled final=true" {
+		t.Errorf("answers %v; %s", e.answers, r.events())
+	}
+	if len(r.c.released) != 1 {
+		t.Errorf("released %v", r.c.released)
+	}
+}
+
+func TestCancel(t *testing.T) {
+	r := start(t, 5, hangs, func(_ time.Duration, e control.Event) []control.Action {
+		switch e := e.(type) {
+		case control.Request:
+			return []control.Action{control.Send{ID: e.ID, Server: "a"}, control.SetTimer{In: 20 * time.Millisecond, Label: e.ID}}
+		case control.TimerFired:
+			return []control.Action{control.Cancel{ID: e.Label, Attempt: 1}, control.Cancel{ID: e.Label}}
+		case control.Ended:
+			return []control.Action{control.Refuse{ID: e.ID, After: time.Second}}
+		}
+		return nil
+	})
+	e := r.ask(t, "x", 5*time.Second)
+	if a := e.answer(); a.Kind != Refused || a.After != time.Second {
+		t.Errorf("answer %+v; %s", a, r.events())
+	}
+	if got := r.events(); got != "timer x; ended a#0 cancelled final=false" {
+		t.Error(got)
+	}
+}
+
+// A module that says nothing is covered by the backstop, within the slack.
+func TestSilentModule(t *testing.T) {
+	r := start(t, 5, served, func(time.Duration, control.Event) []control.Action { return nil })
+	begin := time.Now()
+	e := r.ask(t, "x", 30*time.Millisecond)
+	if a := e.answer(); a.Kind != Failed {
+		t.Errorf("answer %+v", a)
+	}
+	if took := time.Since(begin); took < 30*time.Millisecond {
+		t.Errorf("answered after %v, before the deadline", took)
+	}
+	e.close()
+	if r.Stats.Overdue.Load() != 1 {
+		t.Error("not counted as overdue")
+	}
+}
+
+// TestLeaveFollowsRequest: a viewer that leaves at once is never overtaken by its own request.
+func TestLeaveFollowsRequest(t *testing.T) {
+	r := start(t, 5, hangs, func(_ time.Duration, e control.Event) []control.Action {
+		switch e := e.(type) {
+		case control.Request:
+			return []control.Action{control.Send{ID: e.ID, Server: "a"}}
+		case control.Left:
+			return []control.Action{control.Cancel{ID: e.ID}}
+		}
+		return nil
+	})
+	for i := range 200 {
+		e := r.ask(t, strconv.Itoa(i), time.Minute)
+		r.Leave(strconv.Itoa(i))
+		e.close()
+	}
+}
+
+// TestServerEnds: what a server says of a session ahead of its set-up's end is heard after it, and an end by the
+// server is not released there again.
+func TestServerEnds(t *testing.T) {
+	var r *rig
+	ready := make(chan struct{})
+	r = start(t, 5, func(context.Context, Attempt) Result {
+		<-ready
+		r.Note(control.Note{ID: "x", Server: "a", Kind: control.NoteRung, Value: 2})
+		r.ServerEnded("x", "b", control.Reset, nil) // another server's word counts for nothing
+		r.ServerEnded("x", "a", control.Served, nil)
+		return Result{Outcome: control.Served}
+	}, func(_ time.Duration, e control.Event) []control.Action {
+		if e, ok := e.(control.Request); ok && !e.Playing {
+			return []control.Action{control.Send{ID: e.ID, Server: "a"}}
+		}
+		return nil
+	})
+	e := r.ask(t, "x", 5*time.Second)
+	close(ready)
+	e.close()
+	if got := r.events(); got != "started a; ended a#0 served final=true" {
+		t.Error(got)
+	}
+	for range 2 { // once more under the same id: it counts once
+		r.Adopt(control.Request{ID: "y", Server: "a"}, -1, newEar(t))
+	}
+	if r.events(); r.Stats.Open.Load() != 1 {
+		t.Errorf("%d open", r.Stats.Open.Load())
+	}
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	if len(r.c.released) != 0 {
+		t.Errorf("released %v", r.c.released)
+	}
+}
--- /dev/null
+++ b/internal/core/run_test.go
@@ -0,0 +1,227 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rainpulley/control"
+)
+
+// Every other action reaches the carrier; a move ends the session and marks it.
+func TestOtherActions(t *testing.T) {
+	r := start(t, 5, served, func(_ time.Duration, e control.Event) []control.Action {
+		switch e := e.(type) {
+		case control.Request:
+			return []control.Action{control.Send{ID: e.ID, Server: "a"}, control.Probe{Server: "p"}, control.Subscribe{}, control.ReadList{},
+				control.Tell{To: 3, Data: "d"}}
+		case control.Started:
+			return []control.Action{control.SetRung{ID: e.ID, Rung: 4}, control.SetRung{ID: e.ID, Rung: 4}, control.Move{ID: e.ID}}
+		}
+		return nil
+	})
+	e := r.ask(t, "x", time.Second)
+	e.answer()
+	e.close()
+	if got := strings.Join(r.c.other, "; "); got != "probe p; subscribe; read; tell 3 d; rung x 4" {
+		t.Error(got)
+	}
+	if got := strings.Join(e.heard, "; "); got != "rung 4; ended cancelled true" {
+		t.Error(got)
+	}
+}
+
+// Requests faster than the queue drains are turned away at once; what was taken is answered.
+func TestOverload(t *testing.T) {
+	block := make(chan struct{})
+	r := start(t, 5, served, func(_ time.Duration, e control.Event) []control.Action {
+		if q, ok := e.(control.Request); ok {
+			<-block
+			return []control.Action{control.Refuse{ID: q.ID}}
+		}
+		return nil
+	})
+	var taken []*ear
+	away := 0
+	for i := range 1000 {
+		e := newEar(t)
+		if r.Request(control.Request{ID: fmt.Sprint(i), Due: r.Now() + 10*time.Second}, e) {
+			taken = append(taken, e)
+		} else {
+			away++
+		}
+	}
+	if away < 1000-64-maxBatch-1 || len(taken) < 64 {
+		t.Errorf("%d taken, %d turned away", len(taken), away)
+	}
+	close(block)
+	for _, e := range taken {
+		if a := e.answer(); a.Kind != Refused {
+			t.Fatalf("answer %+v", a)
+		}
+	}
+}
+
+// When the owner ends, what it owes is answered.
+func TestStopAnswers(t *testing.T) {
+	r := &rig{c: &carrier{t: t, out: map[string]int{}, setUp: hangs}}
+	r.Owner = New(Options{Queue: 4, Log: slog.New(slog.DiscardHandler), Carrier: r.c, Now: func() time.Duration { return 0 },
+		Decider: scripted(func(_ time.Duration, e control.Event) []control.Action {
+			if q, ok := e.(control.Request); ok {
+				return []control.Action{control.Send{ID: q.ID, Server: "a"}}
+			}
+			return nil
+		})})
+	ctx, stop := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() { r.Run(ctx); close(over) }()
+	e := newEar(t)
+	r.Request(control.Request{ID: "x", Due: time.Hour}, e)
+	for r.Stats.Attempts.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	<-over
+	if a := e.answer(); a.Kind != Failed {
+		t.Errorf("answer %+v", a)
+	}
+	r.Leave("x") // after the end: does not wait for ever
+}
+
+// Whatever a module orders and servers do, each request has one answer in time, each attempt one end, and
+// no request two attempts out.
+func TestAnyModule(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		n := rapid.IntRange(1, 20).Draw(rt, "requests")
+		var mu sync.Mutex
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		draw := func(n int) int { mu.Lock(); defer mu.Unlock(); return rnd.IntN(n) }
+		setUp := func(ctx context.Context, _ Attempt) Result {
+			select {
+			case <-ctx.Done():
+				return Result{Outcome: control.Reset}
+			case <-time.After(time.Duration(draw(8)) * time.Millisecond):
+				return Result{Outcome: control.Outcome(draw(8))}
+			}
+		}
+		servers := []string{"a", "b", "c"}
+		act := func(id string) control.Action {
+			switch draw(8) {
+			case 0:
+				return control.Refuse{ID: id}
+			case 1:
+				return control.Fail{ID: id}
+			case 2:
+				return control.Cancel{ID: id, Attempt: draw(3)}
+			case 3:
+				return control.Move{ID: id}
+			case 4:
+				return control.SetRung{ID: id, Rung: draw(4)}
+			}
+			return control.Send{ID: id, Server: servers[draw(3)], Timeout: time.Duration(draw(6)) * time.Millisecond}
+		}
+		ends := map[string]int{}
+		decide := func(_ time.Duration, e control.Event) (out []control.Action) {
+			id := ""
+			switch e := e.(type) {
+			case control.Request:
+				id = e.ID
+			case control.Ended:
+				if id = e.ID; e.Outcome != control.Moot {
+					if ends[fmt.Sprint(e.ID, e.Attempt)]++; ends[fmt.Sprint(e.ID, e.Attempt)] > 1 {
+						rt.Errorf("attempt %d of %s ended twice", e.Attempt, e.ID)
+					}
+				} else {
+					return nil
+				}
+			case control.Started:
+				id = e.ID
+			}
+			for range draw(3) {
+				out = append(out, act(id))
+			}
+			return out
+		}
+		c := &carrier{t: t, out: map[string]int{}, setUp: setUp}
+		begin := time.Now()
+		o := New(Options{Queue: 64, MaxAttempts: 4, Slack: 10 * time.Millisecond, Log: slog.New(slog.DiscardHandler), Carrier: c,
+			Decider: scripted(decide), Now: func() time.Duration { return time.Since(begin) }})
+		ctx, stop := context.WithCancel(context.Background())
+		over := make(chan struct{})
+		go func() { o.Run(ctx); close(over) }()
+		var ears []*ear
+		for i := range n {
+			e := newEar(t)
+			ears = append(ears, e)
+			o.Request(control.Request{ID: fmt.Sprint(i), Due: o.Now() + 20*time.Millisecond}, e)
+			if draw(4) == 0 {
+				o.Leave(fmt.Sprint(draw(i + 1)))
+			}
+		}
+		for i, e := range ears {
+			select {
+			case <-e.done:
+			case <-e.closed: // its viewer left
+			case <-time.After(5 * time.Second):
+				rt.Fatalf("request %d has no answer", i)
+			}
+		}
+		stop()
+		<-over
+	})
+}
+
+// An edge that was killed forgets its further attempts; its next instance has no free part of the budget until a
+// span is over, so that both together keep it.
+func TestBudgetOverRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		c := &carrier{t: t, out: map[string]int{}, setUp: func(context.Context, Attempt) Result { return Result{Outcome: control.Failed} }}
+		o := New(Options{Queue: 64, MaxAttempts: 5, Slack: 40 * time.Millisecond, Log: slog.New(slog.DiscardHandler), Carrier: c,
+			Budget: Budget{Span: 10 * time.Second, Share: 0.2}, Now: func() time.Duration { return time.Since(begin) },
+			Decider: scripted(func(_ time.Duration, e control.Event) []control.Action {
+				switch e := e.(type) {
+				case control.Request:
+					return []control.Action{control.Send{ID: e.ID, Server: "a"}}
+				case control.Ended:
+					if e.Final {
+						return nil
+					}
+					if e.Outcome == control.Moot || e.Attempt > 0 {
+						return []control.Action{control.Refuse{ID: e.ID}}
+					}
+					return []control.Action{control.Send{ID: e.ID, Server: "b"}}
+				}
+				return nil
+			})})
+		ctx, stop := context.WithCancel(context.Background())
+		go o.Run(ctx)
+		ask := func(n int) {
+			for range n {
+				e := newEar(t)
+				o.Request(control.Request{ID: fmt.Sprint(o.Stats.Requests.Load()), Due: o.Now() + time.Second}, e)
+				<-e.closed
+			}
+		}
+		ask(20)
+		if got := o.Stats.Further.Load(); got != 4 {
+			t.Errorf("%d further attempts of 20 requests right after the start, want 0.2 of them", got)
+		}
+		time.Sleep(10 * time.Second)
+		ask(3)
+		if got := o.Stats.Further.Load(); got != 7 {
+			t.Errorf("%d further attempts, want the module's word to stand after the span", got)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/internal/edge/rig_test.go
@@ -0,0 +1,288 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"rainpulley/internal/audit"
+	"rainpulley/internal/config"
+	"rainpulley/internal/edge"
+	"rainpulley/internal/planner"
+	"rainpulley/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func sec(s float64) config.Duration { return config.Duration(s * float64(time.Second)) }
+
+// world is a small fleet in one process.
+type world struct {
+	t     *testing.T
+	site  *config.Site
+	fleet *standin.Fleet
+	log   *audit.Log
+	state string
+	edges []*running
+	plan  *running
+
+	planner   *planner.Planner
+	skew      time.Duration      // of edges' clocks
+	catalogue *standin.Catalogue // where there is one, the planner knows no boxes but its own
+}
+
+type running struct {
+	stop context.CancelFunc
+	over chan struct{}
+}
+
+func (r *running) end() { r.stop(); <-r.over }
+
+var testPorts = sync.OnceValue(func() *standin.Ports { return &standin.Ports{} })
+
+// newWorld makes a site of some boxes that all hold title "clip", and starts boxes and planner.
+func newWorld(t *testing.T, boxes, edges int, change func(*config.Site)) *world {
+	s := &config.Site{Zones: []string{"z"}, Cells: boxes, Racks: 1, Kinds: []config.Kind{{Name: "k", Streams: 20}}, Peers: true,
+		Ladder: []config.Rung{{Rate: 300, Worth: 0.3}, {Rate: 800, Worth: 0.7}, {Rate: 2000, Worth: 1}},
+		Links:  config.Links{PerWeight: 20000, Uplink: 60000},
+		Classes: []config.Class{{Name: "play", Effect: "repeatable", Aim: sec(0.5), Deadline: sec(2), Worth: 1},
+			{Name: "paid", Effect: "paid", Aim: sec(0.5), Deadline: sec(1), Worth: 2, Floor: 1}},
+		Rules:    config.Rules{DrainGrace: sec(0.5), Ramp: sec(2), StartShare: 0.4, FallFactor: 3, FallSpan: sec(1), AnswerSlack: sec(0.04)},
+		Attempts: config.Attempts{Most: 5, ConnectTimeout: sec(0.25), Cancel: true},
+		Notes:    config.Notes{Delay: sec(0.1), LinkEvery: sec(0.5), SwitchCost: sec(0.5), Reports: "answers"},
+		Planner:  config.Planner{CheckEvery: sec(0.05), CheckFor: sec(0.2), GoneAfter: 2},
+		Playback: config.Playback{Ahead: sec(3), Behind: sec(6), Silence: sec(5)}, RetryAfter: sec(0.5),
+		Limits: config.Limits{Connections: 200, Sessions: 200, Queue: 64},
+		Titles: []config.Title{{Name: "clip", Home: 0, Span: boxes, Length: sec(20)}},
+	}
+	ports := testPorts() // worlds may run beside each other
+	port := func() string {
+		addr, err := ports.Take()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return addr
+	}
+	for i := range boxes {
+		s.Boxes = append(s.Boxes, config.Box{Addr: port(), Zone: "z", Kind: "k", Cell: i, Weight: 1})
+	}
+	for range edges {
+		s.Edges = append(s.Edges, config.Edge{Zone: "z", Listen: port(), Peer: port()})
+	}
+	s.Planner.Listen = port()
+	if change != nil {
+		change(s)
+	}
+	w := &world{t: t, site: s, log: audit.NewLog(), state: t.TempDir()}
+	w.fleet = standin.NewFleet(s, w.log, 1)
+	w.fleet.Setup = 5 * time.Millisecond
+	ctx, stop := context.WithCancel(context.Background())
+	if err := w.fleet.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	w.edges = make([]*running, edges)
+	w.startPlanner()
+	t.Cleanup(func() {
+		for _, e := range append(w.edges, w.plan) {
+			if e != nil {
+				e.end()
+			}
+		}
+		stop()
+		w.fleet.Wait()
+		http.DefaultClient.CloseIdleConnections()
+	})
+	return w
+}
+
+func (w *world) run(f func(context.Context) error) *running {
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{stop: stop, over: make(chan struct{})}
+	go func() {
+		defer close(r.over)
+		if err := f(ctx); err != nil {
+			w.t.Error(err)
+		}
+	}()
+	return r
+}
+
+// planSite is the site as the planner reads it.
+func (w *world) planSite() *config.Site {
+	if w.catalogue == nil {
+		return w.site
+	}
+	s := *w.site
+	s.Boxes = nil
+	return &s
+}
+
+func (w *world) startPlanner() {
+	w.planner = planner.New(planner.Options{Holds: "all", Site: w.planSite(), Log: plannerLog(), State: w.state, Announcements: w.state})
+	w.plan = w.run(w.planner.Run)
+}
+
+// startEdge starts one; it is ready when it lists so many boxes.
+func (w *world) startEdge(i, boxes int) {
+	w.t.Helper()
+	o := edge.Options{Site: w.site, Position: i, Planner: w.site.Planner.Listen, State: w.state, Seed: uint64(i + 1), Grace: 3 * time.Second,
+		Log: slog.New(slog.DiscardHandler), Clock: time.Now().Add(w.skew)}
+	if testing.Verbose() {
+		o.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	e, err := edge.New(o)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.edges[i] = w.run(e.Run)
+	w.until("edge has its view", func() bool {
+		return strings.Contains(w.status(i), fmt.Sprintf(`"boxes":%d,`, boxes))
+	})
+}
+
+func (w *world) until(what string, ok func() bool) {
+	w.t.Helper()
+	for range 1000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.t.Fatalf("in vain: %s", what)
+}
+
+func (w *world) status(i int) string {
+	_, body := w.get("http://" + w.site.Edges[i].Listen + "/status")
+	return body
+}
+
+func (w *world) get(uri string) (int, string) {
+	c := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := c.Get(uri)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer r.Body.Close()
+	b, _ := io.ReadAll(r.Body)
+	return r.StatusCode, string(b)
+}
+
+func (w *world) play(edge int, query string) (int, string) {
+	return w.get("http://" + w.site.Edges[edge].Listen + "/play/clip/index.m3u8?" + query)
+}
+
+// media is the URL of the media playlist that a manifest names.
+func (w *world) media(edge int, manifest string) string {
+	w.t.Helper()
+	for _, l := range strings.Split(manifest, "\n") {
+		if strings.HasPrefix(l, "/s/") {
+			return "http://" + w.site.Edges[edge].Listen + l
+		}
+	}
+	w.t.Fatalf("no media playlist in %q", manifest)
+	return ""
+}
+
+// box is the one that a playlist's segments are at.
+func (w *world) box(playlist string) *standin.Box {
+	w.t.Helper()
+	var found *standin.Box
+	for _, l := range strings.Split(playlist, "\n") {
+		if !strings.HasPrefix(l, "http://") {
+			continue
+		}
+		for _, b := range w.fleet.Boxes {
+			if strings.HasPrefix(l, "http://"+b.Addr+"/") {
+				if found != nil && found != b {
+					w.t.Errorf("one playlist names two boxes:\n%s", playlist)
+				}
+				found = b
+			}
+		}
+	}
+	if found == nil {
+		w.t.Fatalf("no segment in\n%s", playlist)
+	}
+	return found
+}
+
+// count is how many entries of the boxes' logs say something of a class.
+func (w *world) count(what, class string) (n int) {
+	for _, e := range w.log.Entries() {
+		if e.What == what && (class == "" || e.Class == class) {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) judge() {
+	w.t.Helper()
+	for _, b := range audit.Judge(w.site, w.log.Entries()).Breaches {
+		w.t.Errorf("%+v", b)
+	}
+}
+
+// judgeWithViewers also gives the audit the requests, which these tests' viewers do not log.
+func (w *world) judgeWithViewers(requests int) {
+	w.t.Helper()
+	entries := w.log.Entries()
+	for i := range requests {
+		q := audit.Entry{Side: "viewer", What: audit.Asked, Session: fmt.Sprint("q", i), Edge: "0", Value: 4}
+		entries = append(entries, q)
+		q.What = audit.Answered
+		entries = append(entries, q)
+	}
+	v := audit.Judge(w.site, entries)
+	for _, b := range v.Breaches {
+		w.t.Errorf("%+v", b)
+	}
+	if w.site.Rules.BudgetSpan > 0 && v.Checks[audit.BudgetKept] == 0 {
+		w.t.Error("no further attempt was checked")
+	}
+}
+
+// say sends the planner an announcement of title "clip", and returns its answer.
+func (w *world) say(id string, version int, in, length time.Duration, more string) (int, string) {
+	body := fmt.Sprintf(`{"id":%q,"version":%d,"titles":["clip"],"class":"play","start_ms":%d,"rate":4,"length_ms":%d%s}`, id, version,
+		time.Now().Add(in).UnixMilli(), length.Milliseconds(), more)
+	return w.call("PUT", "/v1/peaks/"+id, body)
+}
+
+func (w *world) call(method, path, body string) (int, string) {
+	q, err := http.NewRequest(method, "http://"+w.site.Planner.Listen+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	c := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := c.Do(q)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer r.Body.Close()
+	b, _ := io.ReadAll(r.Body)
+	return r.StatusCode, string(b)
+}
+
+func (w *world) holds(i int) (n int) {
+	_, rest, _ := strings.Cut(w.status(i), `"holds":`)
+	_, _ = fmt.Sscan(rest, &n)
+	return n
+}
+
+// plannerLog shows the planner's log with -v.
+func plannerLog() *slog.Logger {
+	if testing.Verbose() {
+		return slog.New(slog.NewTextHandler(os.Stderr, nil)).With("program", "planner")
+	}
+	return slog.New(slog.DiscardHandler)
+}
