--- a/internal/node/accepted_test.go
+++ b/internal/node/accepted_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -65,12 +64,11 @@
 func startProcess(t *testing.T, b *box) *process {
 	t.Helper()
 	f := newFeed(t, []coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true, Servers: []coordinator.Entry{b.entry("up")}}}})
-	return startChild(t, 256, f.Listener.Addr().String(), f.all, os.Stderr)
+	return startChild(t, 256, f.Listener.Addr().String(), f.all)
 }
 
-// startChild starts a node in a process of its own that may have so many descriptors, and logs all it can unless to
-// standard error.
-func startChild(t *testing.T, sockets int, coordinatorAt string, known []coordinator.Update, log io.Writer) *process {
+// startChild starts a node in a process of its own that may have so many descriptors.
+func startChild(t *testing.T, sockets int, coordinatorAt string, known []coordinator.Update) *process {
 	t.Helper()
 	at := listenAddress(t)
 	raw, err := json.Marshal(map[string]any{"name": "n0", "listen": at, "seed": "0a", "limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": sockets},
@@ -83,10 +81,7 @@
 		t.Fatal(err)
 	}
 	child := exec.Command(os.Args[0], "-test.run=NONE")
-	child.Env, child.Stderr = append(os.Environ(), helperConfig+"="+path), log
-	if log != os.Stderr {
-		child.Env = append(child.Env, helperDebug+"=1")
-	}
+	child.Env, child.Stderr = append(os.Environ(), helperConfig+"="+path), os.Stderr
 	if err := child.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -94,6 +94,7 @@
 		return connectionOver
 	}
 	l.sid, l.heard = id, p.n.now()
+	l.answerDue.Store(true)
 	l.s.releases.Confirmed(id) // of an earlier attempt: said again, it would end this one
 	return admitted
 }
@@ -120,6 +121,7 @@
 	default:
 	}
 	l.sid = ""
+	l.answerDue.Store(false)
 	late := errors.Is(ctx.Err(), context.DeadlineExceeded) && !l.gone
 	l.say(jsonlines.Close, a.ID, nil, jsonlines.CauseEnd, "")
 	p.noteGiveUp(l, a.ID)
--- a/internal/node/descriptor_test.go
+++ b/internal/node/descriptor_test.go
@@ -16,11 +16,7 @@
 	"rainpulley/internal/coordinator"
 )
 
-// Variables of a node in a process of its own: the path of its configuration, and whether it logs all it can.
-const (
-	helperConfig = "NODE_TEST_CONFIG"
-	helperDebug  = "NODE_TEST_DEBUG"
-)
+const helperConfig = "NODE_TEST_CONFIG"
 
 // runHelper is a front node in a process of its own, with as few descriptors as its configuration says.
 func runHelper(path string) int {
@@ -34,11 +30,7 @@
 		return 1
 	}
 	Limits(c)
-	level := slog.LevelWarn
-	if os.Getenv(helperDebug) != "" {
-		level = slog.LevelDebug
-	}
-	n, err := New(c, path, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	n, err := New(c, path, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn})))
 	if err == nil {
 		n.Arriving = -n.longest()
 		err = n.Run(context.Background())
@@ -61,7 +53,7 @@
 	}
 	defer spare.Close()
 	child := startChild(t, sockets, spare.Addr().String(),
-		[]coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true, Servers: []coordinator.Entry{a.entry("up")}}}}, os.Stderr)
+		[]coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true, Servers: []coordinator.Entry{a.entry("up")}}}})
 	var all []net.Conn
 	dial := func() *dialogue {
 		d := child.dial()
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"rainpulley/control"
@@ -24,12 +25,14 @@
 	conn   net.Conn
 	out    outbox
 	sid    string // of the set-up or the test on it
-	probe  bool   // it is a test
-	reply  chan core.Result
-	gone   bool          // out of use; under the pool's lock
-	heard  time.Duration // of the last line that came or set-up that went: the server's idle time-out counts from there
-	used   time.Duration // of the last set-up's end; 0: none yet
-	gaveUp []givenUp     // set-ups that were given up on it a short time ago
+	// answerDue tells that a set-up is out on it, to its reader, which does not hold the pool's lock.
+	answerDue atomic.Bool
+	probe     bool // it is a test
+	reply     chan core.Result
+	gone      bool          // out of use; under the pool's lock
+	heard     time.Duration // of the last line that came or set-up that went: the server's idle time-out counts from there
+	used      time.Duration // of the last set-up's end; 0: none yet
+	gaveUp    []givenUp     // set-ups that were given up on it a short time ago
 }
 
 // givenUp is a set-up that was given up, which its server was told on the connection it went on.
@@ -120,6 +123,7 @@
 		return false
 	}
 	l.sid, l.probe = "", false
+	l.answerDue.Store(false)
 	l.reply <- r // has room for one
 	return true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	// Dial opens a connection to a server.
 	Dial            func(ctx context.Context, addr string, within time.Duration) (net.Conn, error)
 	beforeAdmission func(id string)     // if set, called ahead of the admission of a set-up's first byte
+	giveWay         func()              // lets other goroutines go first
 	module          *control.Controller // touched on the owner's goroutine only
 	owner           *core.Owner
 	pool            *pool
@@ -69,7 +70,7 @@
 
 // New makes a front node.
 func New(c *Config, path string, log *slog.Logger) (*Node, error) {
-	n := &Node{Config: c, Path: path, Log: log, Arriving: arrivalWindow, Dial: dialTCP, base: time.Now(), sessions: map[string]*session{}}
+	n := &Node{Config: c, Path: path, Log: log, Arriving: arrivalWindow, Dial: dialTCP, giveWay: runtime.Gosched, base: time.Now(), sessions: map[string]*session{}}
 	n.wall = time.Duration(n.base.UnixNano())
 	set := c.Set
 	set.Peers = false // nothing tells where they are
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -17,7 +17,7 @@
 func (p *pool) read(l *link) {
 	r := bufio.NewReaderSize(&timedReader{conn: l.conn}, jsonlines.MaxLine)
 	for {
-		m, err := jsonlines.Read(r)
+		m, err := p.next(l, r)
 		if err != nil {
 			p.n.Log.Debug("connection to server over", "server", l.s.id, "error", err)
 			verdict := socketerror.Judge(err, socketerror.Transfer)
@@ -25,11 +25,23 @@
 			return
 		}
 		if p.handle(l, m) {
-			runtime.Gosched() // the answer goes on its way first, the next look at this socket can wait
+			runtime.Gosched() // the answer goes on its way first, the next read of this socket can wait
 		}
 	}
 }
 
+// next waits for a message and reads it. Where no set-up is out on the connection, whoever reads an answer on another one
+// goes first: a viewer may leave while its answer waits for notes.
+func (p *pool) next(l *link, r *bufio.Reader) (*jsonlines.Message, error) {
+	if _, err := r.Peek(1); err != nil { // a reset is told once only
+		return nil, err
+	}
+	if !l.answerDue.Load() {
+		p.n.giveWay()
+	}
+	return jsonlines.Read(r)
+}
+
 // causes of a close ahead of the answer; an unknown one is a reset.
 var causes = map[int]control.Outcome{jsonlines.CauseFull: control.Full, jsonlines.CauseError: control.Failed,
 	jsonlines.CauseMoot: control.Moot, jsonlines.CauseReset: control.Reset}
