--- a/internal/node/accepted_test.go
+++ b/internal/node/accepted_test.go
@@ -229,3 +229,19 @@
 		waiting[i].want(out[i].ID, 200)
 	}
 }
+
+// TestCloseBehindBadMessage: a viewer sends what cannot be read behind a set-up, and closes. No attempt for the set-up
+// begins later than the platform allows behind that.
+func TestCloseBehindBadMessage(t *testing.T) {
+	b, g := newBox(t, "s-1", nil), newGate()
+	n := startGated(t, func(n *Node) { n.Dial = gatedDial(g) }, b)
+	v := n.dial().say(setUp(idA, "paid", ""))
+	g.wait(t)
+	v.say("\x16\x03\x01\x02\x00\x01\r\n\r\n").want("", 400)
+	over := n.withdrawn(idA)
+	_ = v.Close()
+	eventually(t, "no attempt may begin", over)
+	close(g.open)
+	n.agree(0)
+	n.heardNothing(b, idA)
+}
--- a/internal/node/closing.go
+++ b/internal/node/closing.go
@@ -73,8 +73,13 @@
 	switch why {
 	case closedUnreadable, closedStalled:
 		c.beginDrain()
-		if _, err := io.Copy(io.Discard, io.LimitReader(&c.in, maxDiscarded)); err != nil && c.waiting() > 0 {
+		discarded, err := io.Copy(io.Discard, io.LimitReader(&c.in, maxDiscarded))
+		switch {
+		case c.waiting() == 0:
+		case err != nil:
 			return // reset
+		case discarded < maxDiscarded:
+			c.halfClosed()
 		}
 	case closedByViewer:
 		c.halfClosed()
