--- a/internal/node/reserve_test.go
+++ b/internal/node/reserve_test.go
@@ -21,7 +21,7 @@
 			for i := range boxes {
 				boxes[i] = newBox(t, fmt.Sprintf("s-%d", i), nil)
 				if i%2 == 0 {
-					boxes[i].greet = func(on *peer) { on.say(`{"msg":"close","sid":%q,"attrs":{},"code":16}`, session(i)) }
+					boxes[i].greetWith(func(on *peer) { on.say(`{"msg":"close","sid":%q,"attrs":{},"code":16}`, session(i)) })
 				}
 			}
 			n := startWith(t, sockets, boxes...)
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -66,9 +66,9 @@
 	l      net.Listener
 	heard  chan said
 	answer func(said)
-	greet  func(*peer) // called for each connection that comes, ahead of all else; set before the first
 
 	mu    sync.Mutex
+	greet func(*peer) // called for each connection that comes, ahead of all else
 	conns []*peer
 }
 
@@ -87,9 +87,10 @@
 			p := &peer{Conn: c}
 			b.mu.Lock()
 			b.conns = append(b.conns, p)
+			greet := b.greet
 			b.mu.Unlock()
-			if b.greet != nil {
-				b.greet(p)
+			if greet != nil {
+				greet(p)
 			}
 			go b.read(p)
 		}
@@ -113,6 +114,13 @@
 	}
 }
 
+// greetWith has a function called for each connection that comes from now on.
+func (b *box) greetWith(greet func(*peer)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.greet = greet
+}
+
 // die ends the process: its connections reset, nobody listens.
 func (b *box) die() {
 	_ = b.l.Close()
