--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -14,6 +14,7 @@
 	o.step(nil) // the module sets its first timers
 	clock := time.NewTimer(time.Hour)
 	defer clock.Stop()
+	var rested time.Time
 	for {
 		clock.Reset(o.untilNext())
 		placing := false
@@ -37,16 +38,21 @@
 			o.batch = nil
 			o.step(b)
 		}
-		if len(o.requests) > 0 {
+		if len(o.requests) > 0 && time.Since(rested) >= maxUnrested {
 			time.Sleep(ioTurn)
+			rested = time.Now()
 		}
 	}
 }
 
-// ioTurn is how long the owner rests between two requests that wait. On one processor the runtime looks at the network
-// only when nothing else can run, or every 10 ms: without a rest, answers of servers would stay in their sockets for as
-// long as a rush of requests takes.
-const ioTurn = 50 * time.Microsecond
+const (
+	// maxUnrested is how long the owner decides on one request after another before it rests. On one processor the runtime
+	// looks at the network only when nothing else can run, or every 10 ms: without a rest, answers of servers would stay in
+	// their sockets for as long as a rush of requests takes.
+	maxUnrested = time.Millisecond
+	// ioTurn is how long it rests; the system's timers make up to a millisecond of it.
+	ioTurn = 50 * time.Microsecond
+)
 
 // maxBatch bounds how much is told in one step, so that timers keep their time.
 const maxBatch = 256
