Logs tell who withdrew a request, and how a set-up under an open id stands to the first

Change: half closes with requests open, TEARDOWNs of waiting requests (with both connections) and set-ups under an open id (age, description, connection and its phase) at info; counters left_unanswered, half_closed, repeats_elsewhere.

--- a/internal/node/closing.go
+++ b/internal/node/closing.go
@@ -47,6 +47,35 @@
 	return brokenByNetwork
 }
 
+// phase is how far a viewer's connection is on its way to its end.
+type phase int
+
+const (
+	phaseOpen       phase = iota
+	phaseHalfClosed       // the viewer has shut down its writing half
+	phaseDraining         // nothing more is read, what was taken is answered
+	phaseOver
+)
+
+func (p phase) String() string {
+	return [...]string{"open", "half closed", "draining", "over"}[p]
+}
+
+// phase is where a connection stands.
+func (c *viewer) phase() phase {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.over:
+		return phaseOver
+	case c.halfOpen:
+		return phaseHalfClosed
+	case c.draining:
+		return phaseDraining
+	}
+	return phaseOpen
+}
+
 const (
 	// firstProbe is the time between the first two tries to find out whether a viewer that shut down its writing half still
 	// reads: longer than its reset takes. Later tries are further apart.
@@ -104,10 +133,16 @@
 	c.mu.Lock()
 	c.halfOpen = true
 	until := c.n.now() + mayBeginFor
+	waiting := make([]string, 0, len(c.open))
 	for _, s := range c.open {
 		s.holdFrom(until)
+		waiting = append(waiting, s.id)
 	}
 	c.mu.Unlock()
+	if len(waiting) > 0 {
+		c.n.near.halfClosed.Add(1)
+		c.n.Log.Info("viewer shut down its writing half", "connection", uint64(c.id), "from", c.from, "age", time.Since(c.at), "waiting", waiting)
+	}
 	c.beginDrain()
 }
 
@@ -199,6 +234,9 @@
 	case len(unanswered) > 0 || why == closedForRoom:
 		level = slog.LevelInfo
 	}
+	if !why.byThisNode() {
+		c.n.near.leftUnanswered.Add(int64(len(unanswered)))
+	}
 	if !c.n.Log.Enabled(context.Background(), level) {
 		return
 	}
--- a/internal/node/nearmiss.go
+++ b/internal/node/nearmiss.go
@@ -10,6 +10,9 @@
 type nearMisses struct {
 	answersUnsent    atomic.Int64 // their connection was over, and no viewer was known to have left
 	closedUnanswered atomic.Int64 // requests open on connections that this side closed
+	leftUnanswered   atomic.Int64 // requests open on connections that their viewers or the network ended
+	halfClosed       atomic.Int64 // connections that their viewers shut down in one direction, with requests open
+	repeatsElsewhere atomic.Int64 // set-ups under an id that is open on another connection
 	viewersRefused   atomic.Int64 // connections accepted and closed unread
 	viewersDelayed   atomic.Int64 // tries to make room in vain: all connections waited for answers
 	lateAnswers      atomic.Int64 // in the last tenth of their time, or after it
@@ -36,6 +39,9 @@
 	return []nearMissCounter{
 		{"answers_unsent", &m.answersUnsent},
 		{"closed_unanswered", &m.closedUnanswered},
+		{"left_unanswered", &m.leftUnanswered},
+		{"half_closed", &m.halfClosed},
+		{"repeats_elsewhere", &m.repeatsElsewhere},
 		{"viewers_refused", &m.viewersRefused},
 		{"viewers_delayed", &m.viewersDelayed},
 		{"late_answers", &m.lateAnswers},
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -25,6 +25,7 @@
 	adopted        bool
 	timer          time.Duration // how long the viewer waits
 	due            time.Duration
+	began          time.Duration // when it was read
 
 	mu   sync.Mutex
 	conn *viewer       // that the set-up came on
@@ -116,6 +117,20 @@
 	return s.left
 }
 
+// connection is the one that it belongs to.
+func (s *session) connection() *viewer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn
+}
+
+// answered tells whether its final answer was given.
+func (s *session) answered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.said
+}
+
 // waits tells whether its answer is still owed.
 func (s *session) waits() bool {
 	s.mu.Lock()
--- a/internal/node/setup.go
+++ b/internal/node/setup.go
@@ -56,7 +56,7 @@
 
 // readSetUp reads a set-up that came at a time, or says what is wrong with it. Whatever an arithmetic rests on is bounded here.
 func (n *Node) readSetUp(m *rtsp.Message, arrived time.Time) (r control.Request, s *session, wrong string) {
-	s = &session{n: n, id: m.Get("Session"), uri: m.URI, cseq: m.Get("CSeq"), className: m.Get("X-Cos"), text: string(m.Body)}
+	s = &session{n: n, id: m.Get("Session"), uri: m.URI, cseq: m.Get("CSeq"), className: m.Get("X-Cos"), text: string(m.Body), began: n.now()}
 	title, ok := strings.CutPrefix(m.URI, addresses)
 	if !ok || !isID(s.id) {
 		return r, nil, "no id or title"
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -188,12 +188,26 @@
 	if open.withdrawn() {
 		status, id = 503, s.id
 	}
-	c.n.Log.Info("set-up refused", "session", s.id, "status", status, "why", "id is open", "connection", uint64(c.id))
+	c.logRepeat(s, open, status)
 	c.out.put(func(b []byte) []byte {
 		return rtsp.AppendResponse(b, status, []string{"CSeq", s.cseq, "Session", id}, nil)
 	})
 }
 
+// logRepeat tells what became of a set-up under an id that is open, and how the open one stands.
+func (c *viewer) logRepeat(s, open *session, status int) {
+	first := open.connection()
+	if first != c {
+		c.n.near.repeatsElsewhere.Add(1)
+	}
+	if !c.n.Log.Enabled(context.Background(), slog.LevelInfo) {
+		return
+	}
+	c.n.Log.Info("set-up refused", "session", s.id, "status", status, "why", "id is open", "connection", uint64(c.id),
+		"same description", s.text == open.text, "open since", c.n.now()-open.began, "open on", uint64(first.id),
+		"that connection", first.phase().String(), "viewer left", open.withdrawn(), "answered", open.answered())
+}
+
 // waiting is the number of set-ups that wait for their answer.
 func (c *viewer) waiting() int {
 	c.mu.Lock()
@@ -224,15 +238,23 @@
 		c.reply(m, 454)
 		return
 	}
+	waited := s.waits()
 	s.leave()
-	s.mu.Lock()
-	on := s.conn
-	s.mu.Unlock()
+	on := s.connection()
 	if on != c && !s.adopted && s.claimAnswer() {
 		on.out.put(s.appendAnswer(503, "", nil))
 	}
 	on.answered(s)
-	c.n.Log.Debug("viewer ends", "session", s.id, "connection", uint64(c.id))
+	c.logTearDown(s, on, waited)
 	c.n.owner.Leave(s.id)
 	c.reply(m, 200)
 }
+
+// logTearDown tells who ended a session or a request that waited.
+func (c *viewer) logTearDown(s *session, on *viewer, waited bool) {
+	level := slog.LevelDebug
+	if waited {
+		level = slog.LevelInfo
+	}
+	c.n.Log.Log(context.Background(), level, "viewer ends", "session", s.id, "connection", uint64(c.id), "began on", uint64(on.id), "waited", waited)
+}
