A test that fails: a set-up sent again as its connection ends is never answered

A node in a process of its own, a proxy of ours that ends the client's side and the node's side of a connection apart (close, reset, half close, no end at all), ahead of the copy or behind it, while the set-up waits or when its answer was just written.

--- /dev/null
+++ b/internal/node/resent_test.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"rainpulley/internal/jsonlines"
+	"rainpulley/internal/rtsp"
+)
+
+// The tests of this file cut a viewer's connection under a set-up that waits, and send the set-up again on a new one, as
+// the platform has clients do whose set-up crossed the end of a connection. Whichever of the two the node sees first, the
+// viewer that waits on the new connection is owed the one answer.
+
+// relay is a proxy between viewers and a node that can end either side of a connection by itself.
+type relay struct {
+	net.Listener
+	dialling sync.Mutex // one at a time, so that what is taken is what was dialled
+	taken    chan *relayed
+}
+
+// relayed is one connection through a relay.
+type relayed struct {
+	client, node *net.TCPConn
+}
+
+func newRelay(t *testing.T, to string) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{Listener: l, taken: make(chan *relayed, 1)}
+	var running sync.WaitGroup
+	t.Cleanup(func() { _ = l.Close(); running.Wait() })
+	running.Go(func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			x := &relayed{in.(*net.TCPConn), out.(*net.TCPConn)}
+			t.Cleanup(func() { _ = x.client.Close(); _ = x.node.Close() })
+			running.Go(func() { _, _ = io.Copy(x.node, x.client) })
+			running.Go(func() {
+				_, _ = io.Copy(x.client, x.node)
+				_, _ = io.Copy(io.Discard, x.node) // the client's side has ended: what comes is lost
+			})
+			r.taken <- x
+		}
+	})
+	return r
+}
+
+// dial opens a connection through the relay.
+func (r *relay) dial(t *testing.T) (*dialogue, *relayed) {
+	t.Helper()
+	r.dialling.Lock()
+	defer r.dialling.Unlock()
+	c, err := net.Dial("tcp", r.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return &dialogue{c, t, rtsp.NewReader(bufio.NewReaderSize(c, 4<<10))}, <-r.taken
+}
+
+// endings are the ways in which the node's side of a connection ends.
+var endings = map[string]func(node *net.TCPConn){
+	"close":     func(node *net.TCPConn) { _ = node.Close() },
+	"reset":     func(node *net.TCPConn) { _ = node.SetLinger(0); _ = node.Close() },
+	halfClose:   func(node *net.TCPConn) { _ = node.CloseWrite() },
+	"no ending": func(*net.TCPConn) {}, // the node never hears of it
+}
+
+// ledger is what a server heard, by session.
+type ledger struct {
+	mu     sync.Mutex
+	opens  map[string][]said
+	closes map[string]int
+}
+
+func newLedger() *ledger { return &ledger{opens: map[string][]said{}, closes: map[string]int{}} }
+
+func (l *ledger) hear(m said) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch m.Type {
+	case jsonlines.Open:
+		l.opens[m.ID] = append(l.opens[m.ID], m)
+	case jsonlines.Close:
+		l.closes[m.ID]++
+	}
+}
+
+// of is the set-ups of a session that were heard, and how often it was ended.
+func (l *ledger) of(id string) (opens []said, closes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.opens[id], l.closes[id]
+}
+
+// resendDelay is how long behind the end of its first connection a set-up is sent again where that end comes first. The
+// platform allows 50 ms.
+const resendDelay = 15 * time.Millisecond
+
+// resentCase is one way in which a set-up and the end of its connection cross.
+type resentCase struct {
+	class, ending string
+	copyFirst     bool // the copy reaches the node ahead of the end of the first connection
+	answered      bool // the answer was written on the first connection, and is lost with it
+	id            string
+}
+
+func (c resentCase) String() string {
+	order, moment := "end first", "waits"
+	if c.copyFirst {
+		order = "copy first"
+	}
+	if c.answered {
+		moment = "answered"
+	}
+	return fmt.Sprintf("%s, %s, %s, %s", c.class, c.ending, order, moment)
+}
+
+func resentCases() (cases []resentCase) {
+	for _, class := range []string{"free", "paid"} {
+		for ending := range endings {
+			for _, copyFirst := range []bool{false, true} {
+				for _, answered := range []bool{false, true} {
+					id := fmt.Sprintf("%016x", 0xa000+len(cases))
+					cases = append(cases, resentCase{class, ending, copyFirst, answered, id})
+				}
+			}
+		}
+	}
+	return cases
+}
+
+// TestSetUpSentAgainIsAnswered: the connection of a set-up ends under it, and its viewer sends it again on a new one. That
+// one gets the one answer, of the one attempt, which goes on; the session stands until its viewer ends it.
+func TestSetUpSentAgainIsAnswered(t *testing.T) {
+	t.Parallel()
+	heard := newLedger()
+	p := startProcess(t, newBox(t, "s-1", heard.hear))
+	p.dial().say(ping).want("", 200) // it listens
+	r := newRelay(t, p.addr)
+	for _, c := range resentCases() {
+		t.Run(c.String(), func(t *testing.T) { t.Parallel(); c.play(t, r, heard) })
+	}
+}
+
+func (c resentCase) play(t *testing.T, r *relay, heard *ledger) {
+	first, x := r.dial(t)
+	second, _ := r.dial(t) // connected ahead, so that no handshake comes between
+	second.say(ping).want("", 200)
+	first.say(setUp(c.id, c.class, ""))
+	eventually(t, "an attempt", func() bool { opens, _ := heard.of(c.id); return len(opens) == 1 })
+	opens, _ := heard.of(c.id)
+	_ = x.client.Close()
+	if c.answered {
+		ready(opens[0])
+		time.Sleep(resendDelay)
+	}
+	if c.copyFirst {
+		second.say(setUp(c.id, c.class, ""))
+		time.Sleep(resendDelay)
+		endings[c.ending](x.node)
+	} else {
+		endings[c.ending](x.node)
+		time.Sleep(resendDelay)
+		second.say(setUp(c.id, c.class, ""))
+	}
+	if !c.answered {
+		time.Sleep(300 * time.Millisecond) // whatever the node makes of the end, it has made by now
+		ready(opens[0])
+	}
+	if m := second.want(c.id, 200); string(m.Body) != "for "+c.id+"\r\n\"x\"" {
+		t.Errorf("description %q", m.Body)
+	}
+	second.silent()
+	if opens, closes := heard.of(c.id); len(opens) != 1 || closes != 0 {
+		t.Errorf("%d attempts, %d ends at the server", len(opens), closes)
+	}
+	second.say(tearDown(c.id))
+	eventually(t, "the session released", func() bool { _, closes := heard.of(c.id); return closes == 1 })
+}
