A set-up that is sent again as its connection ends is one request, answered where it waits

Cause: a connection's end withdrew its requests at once, and a copy under an open id was refused without its id unless the end had been seen first. A copy behind a seen reset was begun anew, paid ones too. An answer written as the connection ended was gone. Related: a leave and a backstop name a request, not an id (core); a connection that was chosen to be closed for room is spared if a set-up came on it meanwhile.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -140,6 +140,7 @@
 type input struct {
 	event    control.Event
 	request  *request
+	listener Listener
 	id       string
 	what     what
 	attempt  int
@@ -203,11 +204,12 @@
 		attempts: 1, rung: rung, sent: o.Now()}})
 }
 
-// Leave says that the viewer of a request went away, whether it waits or plays. It goes behind the request
-// itself: one that overtook it would find nothing, and the session would play for nobody. It does not wait: a
-// connection's reader that did would not see that its other viewers leave.
-func (o *Owner) Leave(id string) {
-	in := input{what: viewerLeft, id: id}
+// Leave says that the viewer of a request went away, whether it waits or plays. An id may be used again by a later
+// request: only the one that the listener follows is meant. It goes behind the request itself: one that overtook it would
+// find nothing, and the session would play for nobody. It does not wait: a connection's reader that did would not see that
+// its other viewers leave.
+func (o *Owner) Leave(id string, l Listener) {
+	in := input{what: viewerLeft, id: id, listener: l}
 	select {
 	case o.requests <- in:
 	default:
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -96,7 +96,7 @@
 	r.taken = o.Now()
 	o.open[r.ID] = r
 	o.Stats.Open.Add(1)
-	o.timers.push(timer{at: r.Due + o.Slack/2, label: r.ID, backstop: true})
+	o.timers.push(timer{at: r.Due + o.Slack/2, backstop: r})
 	o.tell(r.Request)
 }
 
@@ -154,10 +154,10 @@
 	return x != control.Full && x != control.ConnectFailed && x != control.Moot
 }
 
-func (o *Owner) left(id string) {
+func (o *Owner) left(id string, l Listener) {
 	r := o.open[id]
 	switch {
-	case r == nil:
+	case r == nil || r.listener != l:
 	case r.playing:
 		o.end(id, control.Cancelled)
 	case !r.gone:
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -120,7 +120,7 @@
 	case inspect:
 		in.look()
 	case viewerLeft:
-		o.left(in.id)
+		o.left(in.id, in.listener)
 	case playedOut:
 		o.end(in.id, control.Served)
 	case serverEnded:
--- /dev/null
+++ b/internal/core/sameid_test.go
@@ -0,0 +1,55 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"rainpulley/control"
+)
+
+// The tests of this file have an id used again by a later request. What concerns the earlier one leaves that alone.
+
+// failsFirst is a module that fails the first request at once and sends on those behind it.
+func failsFirst() scripted {
+	later := false
+	return func(now time.Duration, e control.Event) []control.Action {
+		if r, ok := e.(control.Request); ok && !later {
+			later = true
+			return []control.Action{control.Fail{ID: r.ID}}
+		}
+		return one(nil)(now, e)
+	}
+}
+
+// TestLeaveOfEarlierRequest: the leave of a request comes late, when another one is open under its id.
+func TestLeaveOfEarlierRequest(t *testing.T) {
+	release := make(chan struct{})
+	r := start(t, 5, func(context.Context, Attempt) Result { <-release; return Result{Outcome: control.Served} }, failsFirst())
+	earlier := r.ask(t, "x", time.Minute)
+	earlier.close()
+	later := r.ask(t, "x", time.Minute)
+	r.Leave("x", earlier)
+	for r.Queued() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	r.events() // by now the owner has seen what it took
+	close(release)
+	if a := later.answer(); a.Kind != Plays {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// TestBackstopOfEarlierRequest: the deadline of a request comes when another one is open under its id, which has more time.
+func TestBackstopOfEarlierRequest(t *testing.T) {
+	release := make(chan struct{})
+	r := start(t, 5, func(context.Context, Attempt) Result { <-release; return Result{Outcome: control.Served} }, failsFirst())
+	earlier := r.ask(t, "x", 20*time.Millisecond)
+	earlier.close()
+	later := r.ask(t, "x", time.Minute)
+	time.Sleep(100 * time.Millisecond)
+	close(release)
+	if a := later.answer(); a.Kind != Plays || r.Stats.Overdue.Load() != 0 {
+		t.Errorf("answer %+v, %d overdue", a, r.Stats.Overdue.Load())
+	}
+}
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -11,7 +11,7 @@
 	at       time.Duration
 	order    uint64
 	label    string
-	backstop bool
+	backstop *request // whose answer is due; nil: a timer of the module
 }
 
 // timerHeap keeps timers by time, those of one time in the order in which they were set.
@@ -71,11 +71,11 @@
 	now := o.Now()
 	for len(o.timers.list) > 0 && o.timers.list[0].at <= now {
 		t := o.timers.pop()
-		if !t.backstop {
+		if t.backstop == nil {
 			o.tell(control.TimerFired{Label: t.label})
 			continue
 		}
-		if r := o.open[t.label]; r != nil && !r.answered && !r.gone {
+		if r := t.backstop; o.open[r.ID] == r && !r.answered && !r.gone {
 			o.Stats.Overdue.Add(1)
 			o.Log.Error("answer overdue", "session", r.ID)
 			o.answer(r, Answer{Kind: Failed}, byBackstop)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -235,7 +235,8 @@
 		case <-t.C:
 		}
 		e.lapse()
-		var left, out []string
+		var left []*try
+		var out []string
 		now := e.now()
 		e.table.each(func(s *session) bool {
 			s.mu.Lock()
@@ -247,15 +248,15 @@
 				}
 			case s.state == join.Playing:
 				if now-time.Duration(s.seen.Load()) > e.playback.Load().Silence.D() {
-					left = append(left, s.try.id)
+					left = append(left, s.try)
 				}
 			case s.state == join.Lost || s.state == join.Over || s.state == join.Answered:
 				return now-s.since < forgetAfter
 			}
 			return true
 		})
-		for _, id := range left {
-			e.owner.Leave(id)
+		for _, y := range left {
+			e.owner.Leave(y.id, y)
 		}
 		for _, id := range out {
 			e.owner.PlayedOut(id)
--- a/internal/edge/handle.go
+++ b/internal/edge/handle.go
@@ -423,7 +423,7 @@
 	s.mu.Unlock()
 	if leave {
 		e.Log.Info("viewer left", "session", y.id)
-		e.owner.Leave(y.id)
+		e.owner.Leave(y.id, y)
 	}
 	if ok {
 		return true
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -129,7 +129,7 @@
 	close(y.answered)
 	s.mu.Unlock()
 	if leave {
-		go y.e.owner.Leave(y.id) // not from the owner's goroutine, which would wait for itself
+		go y.e.owner.Leave(y.id, y) // not from the owner's goroutine, which would wait for itself
 	}
 }
 
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -92,6 +92,8 @@
 		return notWanted
 	case l.gone:
 		return connectionOver
+	case !v.beginAttempt():
+		return notWanted
 	}
 	l.sid, l.heard = id, p.n.now()
 	l.answerDue.Store(true)
--- a/internal/node/closing.go
+++ b/internal/node/closing.go
@@ -166,7 +166,7 @@
 		probe := c.halfOpen && !isClosed(c.drained)
 		for _, s := range c.open {
 			if probe {
-				c.out.put(s.appendAnswer(100, "", nil))
+				c.out.put(s.appendReply(reply{status: 100}))
 			}
 		}
 		c.mu.Unlock()
@@ -192,12 +192,20 @@
 	c.close(why)
 }
 
-// close ends a connection at once; the viewers of set-ups on it have gone.
-func (c *viewer) close(why closeReason) {
+// close ends a connection at once. The viewers of set-ups on it may send them again on another one.
+func (c *viewer) close(why closeReason) { c.closeUnless(why, func() bool { return c.over }) }
+
+// closeIdle ends a connection at once if nothing waits on it. What came on it since it was chosen keeps it open.
+func (c *viewer) closeIdle(why closeReason) bool {
+	return c.closeUnless(why, func() bool { return c.over || c.busy || len(c.open) > 0 })
+}
+
+// closeUnless ends a connection unless something holds, which is asked under its lock.
+func (c *viewer) closeUnless(why closeReason, holds func() bool) (closed bool) {
 	c.mu.Lock()
-	if c.over {
+	if holds() {
 		c.mu.Unlock()
-		return
+		return false
 	}
 	c.over = true
 	gone := make([]*session, 0, len(c.open))
@@ -206,9 +214,7 @@
 	}
 	clear(c.open)
 	c.mu.Unlock()
-	for _, s := range gone {
-		s.leave() // first of all: an attempt may be about to begin
-	}
+	c.n.awaitResend(c, gone) // first of all: an attempt may be about to begin
 	close(c.ended)
 	c.out.stop()
 	_ = c.conn.Close()
@@ -218,9 +224,7 @@
 	v.resendNotices(c)
 	v.mu.Unlock()
 	c.logClose(why, gone)
-	for _, s := range gone {
-		c.n.owner.Leave(s.id)
-	}
+	return true
 }
 
 // logClose tells why a connection ended, and which requests got no answer by it. Where this side ended it, they are
--- a/internal/node/eviction.go
+++ b/internal/node/eviction.go
@@ -4,14 +4,14 @@
 	"time"
 )
 
-// evict closes the connection whose end harms least; false where all wait for answers.
+// evict closes the connection whose end harms least; false where all wait for answers, or the one that was chosen has
+// begun to.
 func (v *viewers) evict(now time.Time) bool {
 	least := v.evictionCandidate(now)
-	if least == nil {
+	if least == nil || !least.closeIdle(closedForRoom) {
 		return false
 	}
 	v.n.near.viewersClosed.Add(1)
-	least.close(closedForRoom)
 	return true
 }
 
--- a/internal/node/nearmiss.go
+++ b/internal/node/nearmiss.go
@@ -13,6 +13,7 @@
 	leftUnanswered   atomic.Int64 // requests open on connections that their viewers or the network ended
 	halfClosed       atomic.Int64 // connections that their viewers shut down in one direction, with requests open
 	repeatsElsewhere atomic.Int64 // set-ups under an id that is open on another connection
+	resumed          atomic.Int64 // set-ups that came again on another connection
 	viewersRefused   atomic.Int64 // connections accepted and closed unread
 	viewersDelayed   atomic.Int64 // tries to make room in vain: all connections waited for answers
 	lateAnswers      atomic.Int64 // in the last tenth of their time, or after it
@@ -42,6 +43,7 @@
 		{"left_unanswered", &m.leftUnanswered},
 		{"half_closed", &m.halfClosed},
 		{"repeats_elsewhere", &m.repeatsElsewhere},
+		{"resumed", &m.resumed},
 		{"viewers_refused", &m.viewersRefused},
 		{"viewers_delayed", &m.viewersDelayed},
 		{"late_answers", &m.lateAnswers},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,9 @@
 
 	mu       sync.Mutex
 	sessions map[string]*session // that wait or stand, by id
+	recent   answers             // given a short time ago
+
+	resendWindow time.Duration // see defaultResendWindow
 
 	agesMu sync.Mutex
 	ages   startage.Translator // of servers, from the coordinator's clock to this node's
@@ -70,7 +73,9 @@
 
 // New makes a front node.
 func New(c *Config, path string, log *slog.Logger) (*Node, error) {
-	n := &Node{Config: c, Path: path, Log: log, Arriving: arrivalWindow, Dial: dialTCP, giveWay: runtime.Gosched, base: time.Now(), sessions: map[string]*session{}}
+	n := &Node{Config: c, Path: path, Log: log, Arriving: arrivalWindow, Dial: dialTCP, giveWay: runtime.Gosched, base: time.Now(), sessions: map[string]*session{},
+		resendWindow: defaultResendWindow,
+		recent:       answers{keptFor: defaultAnswerMemory, byID: map[string]*session{}}}
 	n.wall = time.Duration(n.base.UnixNano())
 	set := c.Set
 	set.Peers = false // nothing tells where they are
@@ -192,7 +197,7 @@
 	n.start(func() { n.follow.Run(inner) })
 	n.start(func() { every(inner, watchInterval, func() { n.pool.watch(inner) }) })
 	n.start(func() { n.watchClocks(inner) })
-	n.start(func() { every(inner, noticeExpiryInterval, n.viewers.expireNotices) })
+	n.start(func() { every(inner, noticeExpiryInterval, n.expire) })
 	n.start(func() { n.reloads(inner, hangup) })
 	if log := n.Log; log.Enabled(inner, slog.LevelDebug) {
 		n.start(func() { every(inner, compareInterval, n.compare) })
@@ -206,6 +211,12 @@
 	return nil
 }
 
+// expire lets go of notices and answers that are too old to be of use.
+func (n *Node) expire() {
+	n.viewers.expireNotices()
+	n.expireAnswers()
+}
+
 const compareInterval = 2 * time.Second
 
 // compare logs where the module's count of own sessions at a server is not that on the sockets. For a moment
@@ -275,7 +286,7 @@
 		return
 	}
 	end, over := n.pool.adopt(r.ID, r.Server)
-	s.conn.stand(1)
+	s.begin(s.conn)
 	n.owner.Adopt(r, -1, s)
 	if over {
 		n.owner.ServerEnded(r.ID, r.Server, end.outcome, end.load)
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -331,6 +331,12 @@
 	return d
 }
 
+// reset ends the connection with a reset.
+func (d *dialogue) reset() {
+	_ = d.Conn.(*net.TCPConn).SetLinger(0)
+	_ = d.Close()
+}
+
 // next is the next message that is neither progress nor an answer to a TEARDOWN.
 func (d *dialogue) next() *rtsp.Message {
 	d.t.Helper()
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -27,67 +27,107 @@
 	due            time.Duration
 	began          time.Duration // when it was read
 
-	mu   sync.Mutex
-	conn *viewer       // that the set-up came on
-	left bool          // the viewer ended it
-	held time.Duration // the viewer may have gone: from then on no attempt begins, but an answer is owed; 0: not held
-	said bool          // the one final answer was given
+	mu       sync.Mutex
+	conn     *viewer       // that the set-up came on, the last time
+	orphaned bool          // that connection is over, and the viewer may still send the set-up again on another one
+	left     bool          // the viewer ended it
+	held     time.Duration // the viewer may have gone: from then on no attempt begins, but an answer is owed; 0: not held
+	sent     bool          // an attempt went to a server
+	said     bool          // the one final answer was given
+	reply    *reply        // that answer, for as long as it is kept
+	stands   bool          // it was answered that it plays, and has not ended
 }
 
-// Answered passes on the one answer. A viewer that cannot be told has left.
-func (s *session) Answered(a core.Answer) {
-	status, after, body := 504, "", []byte(nil)
+// Statuses of final answers (RFC 2326, section 7.1.1), as the platform reads them.
+const (
+	statusPlays       = 200
+	statusBadRequest  = 400
+	statusRefused     = 453 // trying again is harmless
+	statusUnknown     = 454
+	statusUnavailable = 503 // trying again is harmless
+	statusFailed      = 504
+)
+
+// replyTo is an answer in the viewer's protocol.
+func replyTo(a core.Answer) reply {
 	switch a.Kind {
 	case core.Plays:
 		text, _ := a.Setup.(string)
-		status, body = 200, []byte(text)
+		return reply{status: statusPlays, body: []byte(text)}
 	case core.Refused:
-		status = 453
+		r := reply{status: statusRefused}
 		if a.After > 0 {
-			after = strconv.FormatInt(a.After.Milliseconds(), 10)
+			r.after = strconv.FormatInt(a.After.Milliseconds(), 10)
 		}
+		return r
 	}
-	s.mu.Lock()
-	c, left := s.conn, s.left
-	s.mu.Unlock()
+	return reply{status: statusFailed}
+}
+
+// Answered passes on the one answer. A viewer whose connection is over may ask for it on another one.
+func (s *session) Answered(a core.Answer) {
+	r := replyTo(a)
+	c, orphaned, first := s.claim(r)
 	defer c.answered(s) // until the answer is in the outbox the connection waits for it, and is not closed for another
-	switch late := s.n.now() - s.due; {
-	case late > 0:
-		s.n.near.lateAnswers.Add(1)
-		s.n.Log.Warn("answer after its time", "session", s.id, "late", late, "answer", a.Kind.String(), "viewer left", left)
-	case late > -s.timer/lateShare:
-		s.n.near.lateAnswers.Add(1)
-	}
-	if left || !s.claimAnswer() {
+	s.noteLateness(a)
+	if !first {
 		s.n.Log.Info("answer not sent: the viewer has left", "session", s.id, "answer", a.Kind.String())
 		if a.Kind == core.Plays {
-			s.n.owner.Leave(s.id)
+			s.n.owner.Leave(s.id, s)
 		}
 		return
 	}
+	s.n.remember(s)
 	if a.Kind == core.Plays {
-		c.stand(1)
+		s.begin(c)
+	}
+	if orphaned {
+		s.n.Log.Info("answer kept: its connection is over", "session", s.id, "answer", a.Kind.String(), "connection", uint64(c.id))
+		return
 	}
-	told := c.out.putNow(s.appendAnswer(status, after, body))
-	if !told {
+	if !c.out.putNow(s.appendReply(r)) {
 		s.n.near.answersUnsent.Add(1)
 		s.n.Log.Warn("answer not sent: its connection is over", "session", s.id, "answer", a.Kind.String(), "connection", uint64(c.id))
+		s.n.awaitResend(c, []*session{s})
 	}
-	if !told && a.Kind == core.Plays {
-		s.n.owner.Leave(s.id)
+}
+
+// noteLateness counts an answer that comes in the last part of its time, and tells of one that comes behind it.
+func (s *session) noteLateness(a core.Answer) {
+	switch late := s.n.now() - s.due; {
+	case late > 0:
+		s.n.near.lateAnswers.Add(1)
+		s.n.Log.Warn("answer after its time", "session", s.id, "late", late, "answer", a.Kind.String(), "viewer left", s.withdrawn())
+	case late > -s.timer/lateShare:
+		s.n.near.lateAnswers.Add(1)
 	}
 }
 
+// begin counts a session that stands on its connection.
+func (s *session) begin(on *viewer) {
+	s.mu.Lock()
+	s.stands = true
+	s.mu.Unlock()
+	on.stand(1)
+}
+
 // Rung concerns the server only.
 func (s *session) Rung(int) {}
 
-// Ended releases a viewer whose session is over, unless it ended it itself.
+// Ended releases a viewer whose session is over, unless it ended it itself. One that asks for its answer only now is told
+// that it failed.
 func (s *session) Ended(o control.Outcome, moved bool) {
 	s.mu.Lock()
-	c, left := s.conn, s.left
+	c, left, orphaned, stood := s.conn, s.left, s.orphaned, s.stands
+	s.stands = false
+	if s.reply != nil {
+		s.reply = &reply{status: statusFailed}
+	}
 	s.mu.Unlock()
-	c.stand(-1)
-	if left || o == control.Cancelled && !moved {
+	if stood {
+		c.stand(-1)
+	}
+	if left || orphaned || o == control.Cancelled && !moved {
 		return
 	}
 	s.n.viewers.notify(&notice{origin: c, id: s.id, uri: s.uri, moved: moved, cause: releaseCause(o == control.Served)})
@@ -142,22 +182,28 @@
 func (s *session) mayBegin() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.mayBeginLocked()
+}
+
+func (s *session) mayBeginLocked() bool {
 	return !s.left && (s.held == 0 || s.n.now() < s.held)
 }
 
-// claimAnswer is true for the first caller: it gives the final answer.
-func (s *session) claimAnswer() bool {
+// beginAttempt tells whether an attempt may begin for it, and notes that it does.
+func (s *session) beginAttempt() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	first := !s.said
-	s.said = true
-	return first
+	s.sent = s.sent || s.mayBeginLocked()
+	return s.mayBeginLocked()
 }
 
-// appendAnswer appends an answer to its set-up.
-func (s *session) appendAnswer(status int, after string, body []byte) func([]byte) []byte {
+// appendReply appends an answer to its set-up.
+func (s *session) appendReply(r reply) func([]byte) []byte {
+	s.mu.Lock()
+	cseq := s.cseq
+	s.mu.Unlock()
 	return func(b []byte) []byte {
-		return rtsp.AppendResponse(b, status, []string{"CSeq", s.cseq, "Session", s.id, "X-Pause", after}, body)
+		return rtsp.AppendResponse(b, r.status, []string{"CSeq", cseq, "Session", s.id, "X-Pause", r.after}, r.body)
 	}
 }
 
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -128,7 +128,7 @@
 	case "TEARDOWN":
 		c.tearDown(m)
 	case "OPTIONS":
-		c.reply(m, 200)
+		c.reply(m, statusPlays)
 	default:
 		c.reply(m, 501)
 	}
@@ -145,8 +145,8 @@
 func (c *viewer) setUp(m *rtsp.Message) {
 	r, s, wrong := c.n.readSetUp(m, c.arrived)
 	if s == nil {
-		c.n.Log.Info("set-up refused", "session", m.Get("Session"), "status", 400, "why", wrong, "connection", uint64(c.id))
-		c.reply(m, 400)
+		c.n.Log.Info("set-up refused", "session", m.Get("Session"), "status", statusBadRequest, "why", wrong, "connection", uint64(c.id))
+		c.reply(m, statusBadRequest)
 		return
 	}
 	s.conn = c
@@ -162,8 +162,13 @@
 		c.n.adopt(r, s)
 		return
 	}
+	if answered := c.n.answeredLately(s.id); answered != nil && c.sendAgain(s, answered) {
+		return
+	}
 	if open := c.n.begin(s); open != nil {
-		c.refuseRepeat(s, open)
+		if !c.sendAgain(s, open) {
+			c.refuseRepeat(s, open)
+		}
 		return
 	}
 	c.mu.Lock()
@@ -173,20 +178,19 @@
 	}
 	c.mu.Unlock()
 	if leaving := c.n.viewers.leaving.Load(); full || leaving || !c.n.owner.Request(r, s) {
-		c.n.Log.Info("set-up refused", "session", s.id, "status", 503, "waiting", c.waiting(), "leaving", leaving, "connection", uint64(c.id))
+		c.n.Log.Info("set-up refused", "session", s.id, "status", statusUnavailable, "waiting", c.waiting(), "leaving", leaving, "connection", uint64(c.id))
 		c.n.forget(s)
-		c.reply(m, 503)
+		c.reply(m, statusUnavailable)
 		c.answered(s)
 	}
 }
 
-// refuseRepeat answers a set-up under an id that is open. Where the viewer of the open one has left, this is the same
-// set-up, sent again on a new connection as its first one ended: it is owed an answer of its own. Else the refusal names
-// no session, so that it cannot pass for the open one's answer.
+// refuseRepeat answers a set-up under an id that is open, but asks for something else or comes on the same connection.
+// The refusal names no session, so that it cannot pass for the open one's answer, unless that one's viewer has left.
 func (c *viewer) refuseRepeat(s, open *session) {
-	status, id := 400, ""
+	status, id := statusBadRequest, ""
 	if open.withdrawn() {
-		status, id = 503, s.id
+		status, id = statusUnavailable, s.id
 	}
 	c.logRepeat(s, open, status)
 	c.out.put(func(b []byte) []byte {
@@ -235,19 +239,21 @@
 func (c *viewer) tearDown(m *rtsp.Message) {
 	s := c.n.find(m.Get("Session"))
 	if s == nil {
-		c.reply(m, 454)
+		c.reply(m, statusUnknown)
 		return
 	}
 	waited := s.waits()
-	s.leave()
 	on := s.connection()
-	if on != c && !s.adopted && s.claimAnswer() {
-		on.out.put(s.appendAnswer(503, "", nil))
+	if on != c && waited {
+		if r := (reply{status: statusUnavailable}); s.answerElsewhere(r) {
+			on.out.put(s.appendReply(r))
+		}
 	}
+	s.leave()
 	on.answered(s)
 	c.logTearDown(s, on, waited)
-	c.n.owner.Leave(s.id)
-	c.reply(m, 200)
+	c.n.owner.Leave(s.id, s)
+	c.reply(m, statusPlays)
 }
 
 // logTearDown tells who ended a session or a request that waited.
