--- /dev/null
+++ b/internal/node/crossings_test.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"rainpulley/internal/coordinator"
+	"rainpulley/internal/jsonlines"
+	"rainpulley/internal/rtsp"
+)
+
+// A short dense trial: one node in a process of its own, three servers that answer, hang, fill up, err and reset, viewers
+// whose connections end around their set-ups and who send them again, and a process that is stopped now and then. All of it
+// is drawn from a seed. The judge reads what passed at both ends only.
+
+const (
+	trialSeeds    = 3
+	trialRequests = 150
+	trialTimer    = 2 * time.Second
+	// answerGrace is how long behind its time an answer may come.
+	answerGrace = 500 * time.Millisecond
+)
+
+// heardSetUp is one set-up at a server of the trial, and what the server made of it.
+type heardSetUp struct {
+	server  string
+	refused bool // it never ran
+	stood   bool // it was answered that it stands
+	on      *peer
+}
+
+// trialServers are the servers of a trial and what they heard.
+type trialServers struct {
+	mu     sync.Mutex
+	draws  *rand.Rand
+	setUps map[string][]*heardSetUp
+	ended  map[string]int // by server and session: times that the node ended it
+}
+
+func (s *trialServers) hear(server string, m said) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch m.Type {
+	case jsonlines.Close:
+		s.ended[server+" "+m.ID]++
+	case jsonlines.Open:
+		h := &heardSetUp{server: server, on: m.on}
+		s.setUps[m.ID] = append(s.setUps[m.ID], h)
+		s.answer(h, m)
+	}
+}
+
+// answer does one of the things that servers do to a set-up. The caller holds the lock.
+func (s *trialServers) answer(h *heardSetUp, m said) {
+	after := time.Duration(s.draws.IntN(60)) * time.Millisecond
+	switch draw := s.draws.IntN(20); {
+	case draw < 13:
+		time.AfterFunc(after, func() { s.stand(h, m) })
+	case draw < 15:
+		h.refused = true
+		m.on.say(`{"msg":"close","sid":%q,"attrs":{},"code":%d}`, m.ID, jsonlines.CauseFull)
+	case draw < 16:
+		m.on.say(`{"msg":"close","sid":%q,"attrs":{},"code":%d}`, m.ID, jsonlines.CauseError)
+	case draw < 18:
+		time.AfterFunc(after/4, func() { _ = m.on.Conn.(*net.TCPConn).SetLinger(0); _ = m.on.Close() })
+	default: // it never answers
+	}
+}
+
+// stand answers that a session stands, unless it was ended meanwhile.
+func (s *trialServers) stand(h *heardSetUp, m said) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended[h.server+" "+m.ID] == 0 {
+		h.stood = true
+		m.on.say(`{"msg":"ready","sid":%q,"attrs":{},"text":"%s for %s"}`, m.ID, h.server, m.ID)
+	}
+}
+
+// judge tells what is wrong with what the servers heard of a request that was answered so.
+func (s *trialServers) judge(class, id string, answer *rtsp.Message) (wrong []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ran, text := 0, ""
+	for _, h := range s.setUps[id] {
+		if !h.refused {
+			ran++
+		}
+		if h.stood {
+			text += h.server + " for " + id
+		}
+	}
+	if class == "paid" && ran > 1 {
+		wrong = append(wrong, fmt.Sprintf("%d paid set-ups that may have run", ran))
+	}
+	if answer.Status == statusPlays && !strings.Contains(text, string(answer.Body)) {
+		wrong = append(wrong, fmt.Sprintf("description %q, servers said %q", answer.Body, text))
+	}
+	if class == "paid" && ran > 0 && (answer.Status == statusRefused || answer.Status == statusUnavailable) {
+		wrong = append(wrong, fmt.Sprintf("refused with %d, and it may have run", answer.Status))
+	}
+	return wrong
+}
+
+// running is how many servers still run a session that they said stands.
+func (s *trialServers) running(id string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.setUps[id] {
+		if h.stood && s.ended[h.server+" "+id] == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// trialRequest is one request of a trial, with the faults that it meets.
+type trialRequest struct {
+	class, id, ending string
+	again             bool          // its connection ends and it is sent again
+	endAfter          time.Duration // behind the set-up; the client's side ends then
+	lag               time.Duration // by which the node's side ends later, or earlier
+	copyAfter         time.Duration // behind the end of the client's side
+	split             int           // bytes of the set-up that are written ahead of the rest
+}
+
+func drawRequest(draws *rand.Rand, id string) trialRequest {
+	kinds := []string{"close", "reset", halfClose, "no ending"}
+	ms := func(n int) time.Duration { return time.Duration(draws.IntN(n)) * time.Millisecond }
+	return trialRequest{class: []string{"free", "paid"}[draws.IntN(2)], id: id, ending: kinds[draws.IntN(len(kinds))], again: draws.IntN(3) > 0,
+		endAfter: ms(40), lag: ms(40) - 20*time.Millisecond, copyAfter: ms(25), split: draws.IntN(200)}
+}
+
+// TestDenseTrial: whatever crosses, every request has its one answer, in time, on the connection that its viewer used last; a
+// paid one runs once; and what stood and nobody wants is ended.
+func TestDenseTrial(t *testing.T) {
+	first := uint64(1)
+	if s := os.Getenv("TRIAL_SEED"); s != "" {
+		first, _ = strconv.ParseUint(s, 10, 64)
+	}
+	for seed := first; seed < first+trialSeeds; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { t.Parallel(); playTrial(t, seed) })
+	}
+}
+
+func playTrial(t *testing.T, seed uint64) {
+	draws := rand.New(rand.NewPCG(seed, 0))
+	servers := &trialServers{draws: rand.New(rand.NewPCG(seed, 1)), setUps: map[string][]*heardSetUp{}, ended: map[string]int{}}
+	var list []coordinator.Entry
+	for i := range 3 {
+		name := fmt.Sprintf("s-%d", i+1)
+		list = append(list, newBox(t, name, func(m said) { servers.hear(name, m) }).entry("up"))
+	}
+	f := newFeed(t, []coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true, Servers: list}}})
+	p := startChild(t, childOptions{sockets: 512, settings: defaultSettings}, f.Listener.Addr().String(), f.all)
+	p.dial().say(ping).want("", statusPlays)
+	r := newRelay(t, p.addr)
+	var viewers sync.WaitGroup
+	for i := range trialRequests {
+		q := drawRequest(draws, fmt.Sprintf("%08x%08x", seed, i+1))
+		viewers.Go(func() { q.play(t, r, servers) })
+		time.Sleep(time.Duration(draws.IntN(20)) * time.Millisecond)
+		if draws.IntN(25) == 0 {
+			p.pause(func() {}, time.Duration(draws.IntN(120))*time.Millisecond)
+		}
+	}
+	viewers.Wait()
+}
+
+func (q trialRequest) play(t *testing.T, r *relay, servers *trialServers) {
+	text := strings.Replace(setUp(q.id, q.class, ""), "X-Timer-Ms: 3000", fmt.Sprintf("X-Timer-Ms: %d", trialTimer.Milliseconds()), 1)
+	v, x := r.dial(t)
+	v.say(text[:q.split])
+	v.say(text[q.split:])
+	taken := time.Now()
+	on := v
+	if q.again {
+		answer, err := v.until(time.Now().Add(q.endAfter))
+		if answer != nil || err != nil { // it was answered ahead of the end
+			q.finish(t, servers, v, answer, err, taken)
+			return
+		}
+		node := time.AfterFunc(max(q.lag, 0), func() { endings[q.ending](x.node) })
+		defer node.Stop()
+		_ = x.client.Close()
+		time.Sleep(q.copyAfter)
+		on, _ = r.dial(t)
+		on.say(text)
+	}
+	answer, err := on.until(taken.Add(trialTimer + answerGrace + trialSlack))
+	q.finish(t, servers, on, answer, err, taken)
+}
+
+// trialSlack is how much later than its time an answer may be where this machine is busy.
+const trialSlack = 5 * time.Second
+
+// until reads the next final answer that comes by a time; neither answer nor error if none does.
+func (d *dialogue) until(deadline time.Time) (*rtsp.Message, error) {
+	_ = d.SetReadDeadline(deadline)
+	defer func() { _ = d.SetReadDeadline(time.Time{}) }()
+	for {
+		m, err := d.r.Next()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, nil
+		case err != nil:
+			return nil, err
+		case m.Method == "" && m.Get("CSeq") == "1" && m.Status >= 200:
+			return m, nil
+		}
+	}
+}
+
+// finish judges a request, and ends its session.
+func (q trialRequest) finish(t *testing.T, servers *trialServers, on *dialogue, answer *rtsp.Message, err error, taken time.Time) {
+	if answer == nil {
+		t.Errorf("%+v: no answer: %v", q, err)
+		return
+	}
+	if answer.Get("Session") != q.id {
+		t.Errorf("%+v: answered %+v", q, answer)
+		return
+	}
+	for _, wrong := range servers.judge(q.class, q.id, answer) {
+		t.Errorf("%+v: answered %d after %v: %s", q, answer.Status, time.Since(taken), wrong)
+	}
+	if second, _ := on.until(time.Now().Add(quiet)); second != nil {
+		t.Errorf("%+v: second answer %+v", q, second)
+	}
+	on.say(tearDown(q.id))
+	for deadline := time.Now().Add(testFor); servers.running(q.id) > 0; time.Sleep(watchInterval) {
+		if time.Now().After(deadline) {
+			t.Errorf("%+v: answered %d, and it still runs", q, answer.Status)
+			return
+		}
+	}
+}
--- a/internal/node/descriptor_test.go
+++ b/internal/node/descriptor_test.go
@@ -16,6 +16,9 @@
 	"rainpulley/internal/coordinator"
 )
 
+// helperLogs has a node in a process of its own log all that it can.
+const helperLogs = "NODE_TEST_LOGS"
+
 // helperWaits has a node in a process of its own wait for set-ups that come again for as long as a test takes.
 const helperWaits = "NODE_TEST_WAITS"
 
@@ -33,7 +36,11 @@
 		return 1
 	}
 	Limits(c)
-	n, err := New(c, path, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn})))
+	level := slog.LevelWarn
+	if os.Getenv(helperLogs) != "" {
+		level = slog.LevelDebug
+	}
+	n, err := New(c, path, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
 	if err == nil {
 		n.Arriving = -n.longest()
 		if os.Getenv(helperWaits) != "" {
--- a/internal/node/resend.go
+++ b/internal/node/resend.go
@@ -5,8 +5,8 @@
 )
 
 // A viewer whose set-up crosses the end of its connection sends it again, under its id, on a new one. The node may see
-// the two events in either order, and the answer may have been written between them. Both copies are one request: its
-// attempt goes on, and its answer goes to the connection that the viewer used last.
+// the two events in either order, may read the copies in either order, and may have written the answer between them. Both
+// copies are one request: its attempt goes on, and its answer goes to the connection that the viewer opened last.
 
 const (
 	// defaultResendWindow is how long behind the end of its connection a set-up may come again: 50 ms by the platform's terms, and
@@ -107,6 +107,10 @@
 	if s.adopted || s.connection() == c || !s.sameRequest(again) {
 		return false
 	}
+	if last := s.connection(); last.id > c.id && last.phase() == phaseOpen {
+		c.n.Log.Info("set-up read behind its copy", "session", s.id, "connection", uint64(c.id), "copy on", uint64(last.id))
+		return true // the viewer waits on the connection that it opened last
+	}
 	c.mu.Lock()
 	c.open[s.id] = s
 	c.mu.Unlock()
@@ -199,16 +203,18 @@
 	n.recent.add(s, n.now())
 }
 
-// answeredLately is the request that was answered under an id a short time ago; nil if there is none, or nothing of it went
-// to a server: then it may be begun anew.
+// answeredLately is the request that was answered under an id a short time ago; nil if there is none.
 func (n *Node) answeredLately(id string) *session {
 	n.mu.Lock()
-	s := n.recent.find(id, n.now())
-	n.mu.Unlock()
-	if s == nil || !s.wasSent() {
-		return nil
-	}
-	return s
+	defer n.mu.Unlock()
+	return n.recent.find(id, n.now())
+}
+
+// isOver tells whether a set-up is a copy of a request that was answered a short time ago, and deals with it then. Where
+// nothing of that one went to a server it may be begun anew, unless its viewer has asked again since this copy was sent.
+func (c *viewer) isOver(s *session) bool {
+	answered := c.n.answeredLately(s.id)
+	return answered != nil && (answered.wasSent() || answered.connection().id > c.id) && c.sendAgain(s, answered)
 }
 
 // expireAnswers lets go of answers that no viewer asks for any more.
--- a/internal/node/resent_test.go
+++ b/internal/node/resent_test.go
@@ -170,6 +170,52 @@
 	}
 }
 
+// TestEarlierCopyReadLater: the node reads the copy ahead of the set-up itself, as it may when it stood still for a moment.
+// The answer goes to the connection that was opened last.
+func TestEarlierCopyReadLater(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		b := newBox(t, "s-1", nil)
+		n := startGated(t, waitForCopies, b)
+		text := setUp(idA, "paid", "")
+		first := n.dial().say(ping)
+		first.want("", statusPlays)
+		second := n.dial().say(text)
+		m := b.next(t, "open")
+		if answered {
+			ready(m)
+			second.want(idA, statusPlays)
+		}
+		first.say(text + ping)
+		first.want("", statusPlays) // read by now
+		_ = first.Conn.(*net.TCPConn).CloseWrite()
+		if !answered {
+			ready(m)
+			second.want(idA, statusPlays)
+		}
+		second.silent()
+		n.agree(1)
+	}
+}
+
+// TestEarlierCopyOfRefused: the copy was refused, nothing of it went to a server, and then the set-up itself is read. It
+// is not begun anew: its viewer has its answer.
+func TestEarlierCopyOfRefused(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startGated(t, waitForCopies, b)
+	first := n.dial().say(ping)
+	first.want("", statusPlays)
+	_ = b.l.Close() // no connection comes up
+	second := n.dial().say(setUp(idA, "paid", ""))
+	second.want(idA, statusRefused)
+	first.say(setUp(idA, "paid", "") + ping)
+	first.want("", statusPlays)
+	second.silent()
+	if attempts := n.owner.Stats.Requests.Load(); attempts != 1 {
+		t.Errorf("%d requests begun", attempts)
+	}
+	n.agree(0)
+}
+
 func (c resentCase) play(t *testing.T, r *relay, heard *ledger) {
 	first, x := r.dial(t)
 	second, _ := r.dial(t) // connected ahead, so that no handshake comes between
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -162,7 +162,7 @@
 		c.n.adopt(r, s)
 		return
 	}
-	if answered := c.n.answeredLately(s.id); answered != nil && c.sendAgain(s, answered) {
+	if c.isOver(s) {
 		return
 	}
 	if open := c.n.begin(s); open != nil {
