A request whose connection ended begins no attempt until it is sent again

Cause: the window for copies let attempts begin for 80 ms behind the end of a connection as this node sees it. Change: awaitResend holds the request at once; what is out goes on. Measured: go test ./internal/node green (60 s).

--- a/internal/node/resend.go
+++ b/internal/node/resend.go
@@ -43,15 +43,15 @@
 }
 
 // orphan marks that its connection ended under it. False if it has moved to another one, or needs none.
-func (s *session) orphan(ended *viewer, mayBeginUntil time.Duration) bool {
+func (s *session) orphan(ended *viewer, now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conn != ended || s.left || s.adopted {
 		return false
 	}
 	s.orphaned = true
-	if s.held == 0 || mayBeginUntil < s.held {
-		s.held = mayBeginUntil
+	if s.held == 0 || now < s.held {
+		s.held = now
 	}
 	return true
 }
@@ -135,12 +135,12 @@
 }
 
 // awaitResend keeps requests whose connection ended for as long as their viewers may send them again, and then withdraws
-// them.
+// them. What is out for them goes on; no further attempt begins meanwhile, since their viewers may have gone.
 func (n *Node) awaitResend(ended *viewer, open []*session) {
-	until := n.now() + mayBeginFor
+	now := n.now()
 	orphans := make([]*session, 0, len(open))
 	for _, s := range open {
-		if s.orphan(ended, until) {
+		if s.orphan(ended, now) {
 			orphans = append(orphans, s)
 		}
 	}
