--- a/internal/node/accepted_test.go
+++ b/internal/node/accepted_test.go
@@ -1,20 +1,11 @@
 package node
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"net"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
-
-	"rainpulley/internal/coordinator"
-	"rainpulley/internal/rtsp"
 )
 
 // What was accepted stays owed: the tests of this file end a connection, or stop the process, around requests that wait.
@@ -53,82 +44,6 @@
 	}
 }
 
-// process is a node in a process of its own, which can be stopped and continued by signals.
-type process struct {
-	*os.Process
-	t    *testing.T
-	addr string
-}
-
-// startProcess starts a node with one server in a process of its own.
-func startProcess(t *testing.T, b *box) *process {
-	t.Helper()
-	return startProcessWith(t, b, childOptions{sockets: 256, settings: defaultSettings})
-}
-
-// childOptions are how a node in a process of its own is configured.
-type childOptions struct {
-	sockets  int // descriptors that it may have
-	settings string
-	env      []string // beside this process's own
-}
-
-// startProcessWith does the same with a configuration of its own.
-func startProcessWith(t *testing.T, b *box, o childOptions) *process {
-	t.Helper()
-	f := newFeed(t, []coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true, Servers: []coordinator.Entry{b.entry("up")}}}})
-	return startChild(t, o, f.Listener.Addr().String(), f.all)
-}
-
-// startChild starts a node in a process of its own.
-func startChild(t *testing.T, o childOptions, coordinatorAt string, known []coordinator.Update) *process {
-	t.Helper()
-	at := listenAddress(t)
-	raw, err := json.Marshal(map[string]any{"name": "n0", "listen": at, "seed": "0a", "limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": o.sockets},
-		"coordinator": coordinatorAt, "known": coordinator.Updates{Index: 1, Updates: known}, "settings": json.RawMessage(o.settings)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, raw, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	child := exec.Command(os.Args[0], "-test.run=NONE")
-	child.Env, child.Stderr = append(append(os.Environ(), helperConfig+"="+path), o.env...), os.Stderr
-	if err := child.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		_ = child.Process.Signal(syscall.SIGCONT)
-		_ = child.Process.Signal(syscall.SIGTERM)
-		if err := child.Wait(); err != nil {
-			t.Error(err)
-		}
-	})
-	return &process{child.Process, t, at}
-}
-
-func (p *process) dial() *dialogue {
-	p.t.Helper()
-	var c net.Conn
-	eventually(p.t, "a connection", func() bool { var err error; c, err = net.Dial("tcp", p.addr); return err == nil })
-	p.t.Cleanup(func() { _ = c.Close() })
-	return &dialogue{c, p.t, rtsp.NewReader(bufio.NewReaderSize(c, 4<<10))}
-}
-
-// pause stops the process, has things happen meanwhile, and continues it after a time.
-func (p *process) pause(meanwhile func(), span time.Duration) {
-	p.t.Helper()
-	if err := p.Signal(syscall.SIGSTOP); err != nil {
-		p.t.Fatal(err)
-	}
-	meanwhile()
-	time.Sleep(span)
-	if err := p.Signal(syscall.SIGCONT); err != nil {
-		p.t.Fatal(err)
-	}
-}
-
 // TestPauseKeepsRequests: a process that stands still for longer than its read deadlines finds requests in its sockets'
 // buffers when it goes on. They came in time, and are answered: one on a connection that had not spoken yet, one whose
 // message had begun, and one in the accept backlog.
--- a/internal/node/descriptor_test.go
+++ b/internal/node/descriptor_test.go
@@ -4,57 +4,16 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"syscall"
 	"testing"
 	"time"
 
 	"rainpulley/internal/coordinator"
 )
 
-// helperLogs has a node in a process of its own log all that it can.
-const helperLogs = "NODE_TEST_LOGS"
-
-// helperWaits has a node in a process of its own wait for set-ups that come again for as long as a test takes.
-const helperWaits = "NODE_TEST_WAITS"
-
-const helperConfig = "NODE_TEST_CONFIG"
-
-// runHelper is a front node in a process of its own, with as few descriptors as its configuration says.
-func runHelper(path string) int {
-	c, err := ReadConfig(path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(c.Sockets), Max: uint64(c.Sockets)}); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	Limits(c)
-	level := slog.LevelWarn
-	if os.Getenv(helperLogs) != "" {
-		level = slog.LevelDebug
-	}
-	n, err := New(c, path, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
-	if err == nil {
-		n.Arriving = -n.longest()
-		if os.Getenv(helperWaits) != "" {
-			waitForCopies(n)
-		}
-		err = n.Run(context.Background())
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return 0
-}
-
 // TestDescriptorsRunOut: while discovery is down, clients that stay idle take every descriptor they can. Requests are
 // answered all the same, the coordinator is followed as soon as it is back, and all descriptors come back.
 func TestDescriptorsRunOut(t *testing.T) {
--- /dev/null
+++ b/internal/node/process_test.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"rainpulley/internal/coordinator"
+	"rainpulley/internal/rtsp"
+)
+
+// helperLogs has a node in a process of its own log all that it can.
+const helperLogs = "NODE_TEST_LOGS"
+
+// helperWaits has a node in a process of its own wait for set-ups that come again for as long as a test takes.
+const helperWaits = "NODE_TEST_WAITS"
+
+const helperConfig = "NODE_TEST_CONFIG"
+
+// runHelper is a front node in a process of its own, with as few descriptors as its configuration says.
+func runHelper(path string) int {
+	c, err := ReadConfig(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(c.Sockets), Max: uint64(c.Sockets)}); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	Limits(c)
+	level := slog.LevelWarn
+	if os.Getenv(helperLogs) != "" {
+		level = slog.LevelDebug
+	}
+	n, err := New(c, path, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	if err == nil {
+		n.Arriving = -n.longest()
+		if os.Getenv(helperWaits) != "" {
+			waitForCopies(n)
+		}
+		err = n.Run(context.Background())
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
+// process is a node in a process of its own, which can be stopped and continued by signals.
+type process struct {
+	*os.Process
+	t    *testing.T
+	addr string
+}
+
+// startProcess starts a node with one server in a process of its own.
+func startProcess(t *testing.T, b *box) *process {
+	t.Helper()
+	return startProcessWith(t, b, childOptions{sockets: 256, settings: defaultSettings})
+}
+
+// childOptions are how a node in a process of its own is configured.
+type childOptions struct {
+	sockets  int // descriptors that it may have
+	settings string
+	env      []string // beside this process's own
+}
+
+// startProcessWith does the same with a configuration of its own.
+func startProcessWith(t *testing.T, b *box, o childOptions) *process {
+	t.Helper()
+	f := newFeed(t, []coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true, Servers: []coordinator.Entry{b.entry("up")}}}})
+	return startChild(t, o, f.Listener.Addr().String(), f.all)
+}
+
+// startChild starts a node in a process of its own.
+func startChild(t *testing.T, o childOptions, coordinatorAt string, known []coordinator.Update) *process {
+	t.Helper()
+	at := listenAddress(t)
+	raw, err := json.Marshal(map[string]any{"name": "n0", "listen": at, "seed": "0a", "limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": o.sockets},
+		"coordinator": coordinatorAt, "known": coordinator.Updates{Index: 1, Updates: known}, "settings": json.RawMessage(o.settings)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	child := exec.Command(os.Args[0], "-test.run=NONE")
+	child.Env, child.Stderr = append(append(os.Environ(), helperConfig+"="+path), o.env...), os.Stderr
+	if err := child.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = child.Process.Signal(syscall.SIGCONT)
+		_ = child.Process.Signal(syscall.SIGTERM)
+		if err := child.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return &process{child.Process, t, at}
+}
+
+func (p *process) dial() *dialogue {
+	p.t.Helper()
+	var c net.Conn
+	eventually(p.t, "a connection", func() bool { var err error; c, err = net.Dial("tcp", p.addr); return err == nil })
+	p.t.Cleanup(func() { _ = c.Close() })
+	return &dialogue{c, p.t, rtsp.NewReader(bufio.NewReaderSize(c, 4<<10))}
+}
+
+// pause stops the process, has things happen meanwhile, and continues it after a time.
+func (p *process) pause(meanwhile func(), span time.Duration) {
+	p.t.Helper()
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		p.t.Fatal(err)
+	}
+	meanwhile()
+	time.Sleep(span)
+	if err := p.Signal(syscall.SIGCONT); err != nil {
+		p.t.Fatal(err)
+	}
+}
