--- a/internal/node/eviction_test.go
+++ b/internal/node/eviction_test.go
@@ -12,10 +12,8 @@
 	n := startNode(t, b)
 	v := n.dial().say(ping)
 	v.want("", 200)
-	chosen := n.viewers.evictionCandidate(time.Now())
-	if chosen == nil {
-		t.Fatal("no connection is at rest")
-	}
+	var chosen *viewer // the answer is written ahead of the connection's rest
+	eventually(t, "a connection at rest", func() bool { chosen = n.viewers.evictionCandidate(time.Now()); return chosen != nil })
 	v.say(setUp(idA, "paid", ""))
 	m := b.next(t, "open")
 	if chosen.closeIdle(closedForRoom) {
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -21,6 +21,9 @@
 // helperLogs has a node in a process of its own log all that it can.
 const helperLogs = "NODE_TEST_LOGS"
 
+// helperStays has a node in a process of its own stay at SIGTERM for as long as requests may arrive. Else it ends at once.
+const helperStays = "NODE_TEST_STAYS"
+
 // helperWaits has a node in a process of its own wait for set-ups that come again for as long as a test takes.
 const helperWaits = "NODE_TEST_WAITS"
 
@@ -44,7 +47,9 @@
 	}
 	n, err := New(c, path, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
 	if err == nil {
-		n.Arriving = -n.longest()
+		if os.Getenv(helperStays) == "" {
+			n.Arriving = -n.longest()
+		}
 		if os.Getenv(helperWaits) != "" {
 			waitForCopies(n)
 		}
--- a/internal/node/trial_servers_test.go
+++ b/internal/node/trial_servers_test.go
@@ -6,8 +6,10 @@
 	"net"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
+	"rainpulley/internal/coordinator"
 	"rainpulley/internal/jsonlines"
 	"rainpulley/internal/rtsp"
 )
@@ -28,6 +30,26 @@
 	ended  map[string]int // by server and session: times that the node ended it
 }
 
+func newTrialServers(seed uint64) *trialServers {
+	return &trialServers{draws: rand.New(rand.NewPCG(seed, 1)), setUps: map[string][]*heardSetUp{}, ended: map[string]int{}}
+}
+
+// start starts three servers, and returns their entries of the list.
+func (s *trialServers) start(t *testing.T) (list []coordinator.Entry) {
+	for i := range 3 {
+		name := fmt.Sprintf("s-%d", i+1)
+		list = append(list, newBox(t, name, func(m said) { s.hear(name, m) }).entry("up"))
+	}
+	return list
+}
+
+// of is the set-ups of a request that were heard.
+func (s *trialServers) of(id string) []*heardSetUp {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.setUps[id]
+}
+
 func (s *trialServers) hear(server string, m said) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/trial_test.go
+++ b/internal/node/trial_test.go
@@ -63,12 +63,8 @@
 
 func playTrial(t *testing.T, seed uint64) {
 	draws := rand.New(rand.NewPCG(seed, 0))
-	servers := &trialServers{draws: rand.New(rand.NewPCG(seed, 1)), setUps: map[string][]*heardSetUp{}, ended: map[string]int{}}
-	var list []coordinator.Entry
-	for i := range 3 {
-		name := fmt.Sprintf("s-%d", i+1)
-		list = append(list, newBox(t, name, func(m said) { servers.hear(name, m) }).entry("up"))
-	}
+	servers := newTrialServers(seed)
+	list := servers.start(t)
 	f := newFeed(t, []coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true, Servers: list}}})
 	p := startChild(t, childOptions{sockets: trialSockets, settings: defaultSettings}, f.Listener.Addr().String(), f.all)
 	p.dial().say(ping).want("", statusPlays)
