A session stands from the moment its answer is given, whichever connection it is on

Cause: read at the last look: between an answer's claim and the mark that its session stands, a copy could move the request, and the count of standing sessions went to one connection and came off another: only the order of evictions, but wrong for as long as both were open. Change: claim sets the mark under the same lock.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -286,7 +286,7 @@
 		return
 	}
 	end, over := n.pool.adopt(r.ID, r.Server)
-	s.begin(s.conn)
+	s.conn.stand(1)
 	n.owner.Adopt(r, -1, s)
 	if over {
 		n.owner.ServerEnded(r.ID, r.Server, end.outcome, end.load)
--- a/internal/node/resend.go
+++ b/internal/node/resend.go
@@ -25,14 +25,14 @@
 	body   []byte
 }
 
-// claim gives a request its final answer, where it has none yet.
+// claim gives a request its final answer, where it has none yet. From then on its session stands, if it plays.
 func (s *session) claim(r reply) (on *viewer, orphaned, first bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.said || s.left {
 		return s.conn, s.orphaned, false
 	}
-	s.said, s.reply = true, &r
+	s.said, s.reply, s.stands = true, &r, r.status == statusPlays
 	return s.conn, s.orphaned, true
 }
 
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -79,7 +79,7 @@
 	}
 	s.n.remember(s)
 	if a.Kind == core.Plays {
-		s.begin(c)
+		c.stand(1)
 	}
 	if orphaned {
 		s.n.Log.Info("answer kept: its connection is over", "session", s.id, "answer", a.Kind.String(), "connection", uint64(c.id))
@@ -103,14 +103,6 @@
 	}
 }
 
-// begin counts a session that stands on its connection.
-func (s *session) begin(on *viewer) {
-	s.mu.Lock()
-	s.stands = true
-	s.mu.Unlock()
-	on.stand(1)
-}
-
 // Rung concerns the server only.
 func (s *session) Rung(int) {}
 
--- a/internal/node/setup.go
+++ b/internal/node/setup.go
@@ -106,6 +106,7 @@
 		return wrong
 	}
 	s.adopted = r.Server != ""
+	s.stands = s.adopted
 	if s.adopted {
 		return ""
 	}
