--- /dev/null
+++ b/review/rig/slowlist.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// slowList: discovery is slow: each answer of the coordinator comes 2 s late. A server begins to drain. No new set-up
+// may reach it later than the grace of 2 s after the node was told, with 50 ms of slack; an event counts as told at the
+// latest 7 s after the coordinator has it, even on days when the coordinator says nothing at all.
+func slowList(rec *record, trouble bool) {
+	const grace, slack, excuse = 2 * time.Second, 50 * time.Millisecond, 7 * time.Second
+	f := startFleet(rec, 4, "-life", "20s")
+	v := f.connect()
+	classes := []string{"replay-round", "live-round"}
+	sent := 0
+	send := func(until time.Time) {
+		for time.Now().Before(until) {
+			v.setUp(classes[sent%2], uint64(0x7f3a9c21e0b4d650+sent%4))
+			sent++
+			time.Sleep(250 * time.Millisecond)
+		}
+	}
+	if trouble {
+		f.coordinator.mu.Lock()
+		f.coordinator.late = 2 * time.Second
+		f.coordinator.mu.Unlock()
+		rec.add("TROUBLE: each answer of the coordinator comes 2 s late from now on")
+	}
+	send(time.Now().Add(3 * time.Second))
+	const drained = 1
+	told := time.Now()
+	f.coordinator.tell(f.entry(drained, "draining", 0))
+	allowed := told.Add(grace + slack)
+	if trouble {
+		allowed = allowed.Add(excuse)
+	}
+	send(told.Add(30 * time.Second))
+	time.Sleep(time.Second)
+	var broken []string
+	for _, e := range f.serverEvents() {
+		if e.kind == "open" && e.server == serverID(drained) && e.at.After(allowed) {
+			broken = append(broken, fmt.Sprintf("set-up %s reached %s %v after the drain was in the coordinator", e.id, e.server, e.at.Sub(told).Round(time.Millisecond)))
+		}
+	}
+	for id, s := range v.all() {
+		if s.answers == 0 {
+			broken = append(broken, "set-up "+id+" got no answer")
+		}
+	}
+	verdict(rec, broken)
+}
