--- a/review/rig/drain.go
+++ b/review/rig/drain.go
@@ -12,7 +12,7 @@
 func plannerRestart(rec *record, trouble bool) {
 	const grace, slack = time.Second, 50 * time.Millisecond
 	h := startBoxes(rec, 12)
-	site := h.siteFile("site.json", nil, h.startConsul())
+	site := h.siteFile("site.json", nil, h.startConsul().addr)
 	planner := h.startPlanner(site)
 	edge := h.startEdge(site)
 	h.awaitStatus(`"boxes":4`)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,6 +25,8 @@
 		slowList(openRecord(os.Args[2]), trouble)
 	case "drain":
 		plannerRestart(openRecord(os.Args[2]), trouble)
+	case "reload":
+		plannerReload(openRecord(os.Args[2]), trouble)
 	default:
 		cannotRun("no command %q", os.Args[1])
 	}
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -41,7 +41,7 @@
 		site["boxes"] = list
 	}
 	if consul != "" {
-		site["consul"] = object{"address": consul, "service": "clip-box", "wait": "10s"}
+		site["consul"] = object{"address": consul, "service": "clip-box", "wait": "5s"}
 	}
 	raw, _ := json.MarshalIndent(site, "", " ")
 	path := filepath.Join(h.dir, name)
@@ -231,43 +231,76 @@
 	return n
 }
 
-// startConsul serves the part of Consul's HTTP API that a planner reads: the health of a service, by blocking queries.
-func (h *hls) startConsul() string {
+// catalogue is the part of Consul's HTTP API that a planner reads: the health of a service, by blocking queries.
+type catalogue struct {
+	h    *hls
+	addr string
+
+	mu      sync.Mutex
+	index   int
+	changed chan struct{}
+	absent  map[string]bool // boxes that are not registered
+}
+
+func (h *hls) startConsul() *catalogue {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		cannotRun("catalogue: %v", err)
 	}
+	c := &catalogue{h: h, addr: l.Addr().String(), index: 7, changed: make(chan struct{}), absent: map[string]bool{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/health/service/clip-box", c.serve)
+	go func() { _ = http.Serve(l, mux) }()
+	return c
+}
+
+// deregister removes a box from the catalogue.
+func (c *catalogue) deregister(box string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.absent[box] = true
+	c.index++
+	close(c.changed)
+	c.changed = make(chan struct{})
+	c.h.rec.add("catalogue: %s is no longer registered", box)
+}
+
+func (c *catalogue) serve(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	index, changed := c.index, c.changed
+	c.mu.Unlock()
+	if r.URL.Query().Get("index") == fmt.Sprint(index) {
+		wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+		if err != nil || wait <= 0 {
+			wait = time.Minute
+		}
+		select {
+		case <-time.After(wait):
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	list := []object{}
-	for i, a := range h.relays {
+	for i, a := range c.h.relays {
 		host, port, _ := net.SplitHostPort(a)
 		n := 0
-		fmt.Sscan(port, &n)
+		_, _ = fmt.Sscan(port, &n)
 		id := fmt.Sprintf("box-%d", i)
+		if c.absent[a] {
+			continue
+		}
 		list = append(list, object{"Node": object{"Node": "n", "Address": host},
 			"Service": object{"ID": id, "Service": "clip-box", "Address": host, "Port": n, "Meta": object{"rainpulley-zone": zoneOf(i),
 				"rainpulley-kind": "two-core", "rainpulley-cell": fmt.Sprint(i), "rainpulley-weight": "2"}},
 			"Checks": []object{{"Node": "n", "CheckID": "serfHealth", "Status": "passing"},
 				{"Node": "n", "CheckID": "service:" + id, "Status": "passing", "ServiceID": id}}})
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/health/service/clip-box", func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("index") == "7" {
-			wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
-			if err != nil || wait <= 0 {
-				wait = time.Minute
-			}
-			select {
-			case <-time.After(wait):
-			case <-r.Context().Done():
-				return
-			}
-		}
-		w.Header().Set("Content-Type", "application/json")
-		w.Header().Set("X-Consul-Index", "7")
-		w.Header().Set("X-Consul-KnownLeader", "true")
-		w.Header().Set("X-Consul-LastContact", "0")
-		_ = json.NewEncoder(w).Encode(list)
-	})
-	go func() { _ = http.Serve(l, mux) }()
-	return l.Addr().String()
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Consul-Index", fmt.Sprint(c.index))
+	w.Header().Set("X-Consul-KnownLeader", "true")
+	w.Header().Set("X-Consul-LastContact", "0")
+	_ = json.NewEncoder(w).Encode(list)
 }
