--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,8 @@
 		plannerRestart(openRecord(os.Args[2]), trouble)
 	case "reload":
 		plannerReload(openRecord(os.Args[2]), trouble)
+	case "seats":
+		edgeRestart(openRecord(os.Args[2]), trouble)
 	default:
 		cannotRun("no command %q", os.Args[1])
 	}
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -63,6 +63,8 @@
 	boxes, relays         []string
 	plannerLog, edgeLog   *os.File
 
+	delay time.Duration // one way between the programs and the boxes
+
 	mu       sync.Mutex
 	requests []boxRequest
 }
@@ -111,6 +113,7 @@
 
 func (h *hls) relay(c net.Conn, name, box string) {
 	defer c.Close()
+	time.Sleep(2 * h.delay) // the handshake, which the relay has already accepted
 	to, err := net.DialTimeout("tcp", box, time.Second)
 	if err != nil {
 		return
@@ -129,6 +132,7 @@
 		h.mu.Unlock()
 		h.rec.add("box %s got %s %s", name, method, target)
 	}
+	time.Sleep(2 * h.delay) // the request, and the answer
 	if _, err := io.WriteString(to, first); err != nil {
 		return
 	}
