--- a/review/rig/node.go
+++ b/review/rig/node.go
@@ -21,7 +21,7 @@
 // one that is paid for, with the figures that the pages give for Surat's quiz nights.
 const settings = `{"clients":{"marksRetry":true},"discovery":"automatic","family":"streams",
  "familyInfo":{"cells":4,"classFloor":[0,1],"classTop":[5,5],"fullFrom":0.0,"joinAdds":1.0,"kindStreams":[30,60],
-  "ladderKb":[200.0,350.0,600.0,900.0,1300.0,1900.0],"licenceCap":[0,0],"linksKb":160000.0,"live":[false,true],"rackLinkKb":80000.0,
+  "ladderKb":[200.0,350.0,600.0,900.0,1300.0,1900.0],"licenceCap":[0,0],"linksKb":360000.0,"live":[false,true],"rackLinkKb":130000.0,
   "rateFactor":[0.7,1.0],"reportsEvery":4000000,"rungWorth":[0.2,0.4,0.6,0.8,0.9,1.0],"see":1000000,"shelves":2,"stall":7.0,"switchS":0.5,"weightKb":10000.0},
  "groupSize":3,"kinds":["two-core","four-core"],"layer":0,"layers":["round-servers"],"locality":0,"overShareWorth":0.1,
  "permissions":{"cancel":true,"connIdle":30000000,"connectTimeout":250000,"cpuUsPerRequest":0.0,"cpuUsPerS":500000,"maxAttempts":5,
--- a/review/rig/restart.go
+++ b/review/rig/restart.go
@@ -10,12 +10,12 @@
 // session that stood there must be released towards its viewer within 8 s of its end, with 50 ms of slack.
 func serverRestart(rec *record, trouble bool) {
 	const limit = 8*time.Second + 50*time.Millisecond
-	f := startFleet(rec, 4, "-life", "32s")
+	f := startFleet(rec, 12, "-life", "32s")
 	v := f.connect()
 	classes := []string{"replay-round", "live-round"}
-	for i := range 16 {
+	for i := range 30 {
 		v.setUp(classes[i%2], uint64(0x7f3a9c21e0b4d650+i%4))
-		time.Sleep(150 * time.Millisecond)
+		time.Sleep(80 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
 	at := map[string]string{} // server of each session
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -30,7 +32,8 @@
 	every    time.Duration
 	sessions map[string]*serverSession
 	conns    []*serverConn
-	unsent   []string // releases for the next connection opened
+	released map[string]time.Time // releases that the next connection opened brings as well
+	draining bool
 }
 
 type serverConn struct {
@@ -64,13 +67,22 @@
 	delay, life, every := f.Duration("delay", 20*time.Millisecond, "time of a set-up"),
 		f.Duration("life", time.Hour, "length of a session"), f.Duration("every", 4*time.Second, "time between notes")
 	_ = f.Parse(args)
-	s := &server{id: *id, delay: *delay, life: *life, every: *every, sessions: map[string]*serverSession{}}
+	s := &server{id: *id, delay: *delay, life: *life, every: *every, sessions: map[string]*serverSession{}, released: map[string]time.Time{}}
 	l, err := net.Listen("tcp", *addr)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
 	s.log("listens")
+	drain := make(chan os.Signal, 1)
+	signal.Notify(drain, syscall.SIGUSR1)
+	go func() {
+		<-drain
+		s.mu.Lock()
+		s.draining = true
+		s.mu.Unlock()
+		s.log("drains from now on: refuses what is new")
+	}()
 	go s.sendNotes()
 	for {
 		conn, err := l.Accept()
@@ -114,11 +126,11 @@
 func (s *server) serve(c *serverConn) {
 	s.mu.Lock()
 	s.conns = append(s.conns, c)
-	unsent := s.unsent
-	s.unsent = nil
+	again := s.released
+	s.released = map[string]time.Time{}
 	s.mu.Unlock()
-	for _, id := range unsent {
-		s.log("release %s", id)
+	for id, since := range again {
+		s.log("release-again %s, over since %v", id, time.Since(since).Round(time.Millisecond))
 		_ = c.send(line{Msg: "close", Sid: id, Code: code(16)})
 	}
 	pending := map[string]bool{} // set-ups open on the connection
@@ -149,8 +161,16 @@
 		case "open":
 			s.log("open %s key=%v class=%v left=%v", l.Sid, l.Attrs["key"], l.Attrs["class"], l.Attrs["left"])
 			s.mu.Lock()
-			pending[l.Sid] = true
+			refused := s.draining
+			if !refused {
+				pending[l.Sid] = true
+			}
 			s.mu.Unlock()
+			if refused {
+				s.log("refuse %s", l.Sid)
+				_ = c.send(line{Msg: "close", Sid: l.Sid, Code: code(34)})
+				continue
+			}
 			time.AfterFunc(s.delay, func() { s.finishSetUp(c, pending, l.Sid) })
 		case "close":
 			s.mu.Lock()
@@ -175,7 +195,7 @@
 	}
 	delete(pending, id)
 	s.sessions[id] = &serverSession{c}
-	load := fmt.Sprintf("queue:0;inflight:%d;x0:%.3f;x1:%.3f", len(s.sessions), float64(len(s.sessions))/40, float64(len(s.sessions))/80)
+	load := fmt.Sprintf("rif:%d;x0:%.3f;x1:%.3f", len(s.sessions), float64(len(s.sessions))/40, float64(len(s.sessions))/80)
 	s.mu.Unlock()
 	s.log("ready %s", id)
 	_ = c.send(line{Msg: "ready", Sid: id, Attrs: map[string]any{"load": load}, Text: "stream " + id + " at " + s.id + "\r\n"})
@@ -192,9 +212,7 @@
 	}
 	delete(s.sessions, id)
 	c := s.openConn(x.conn)
-	if c == nil {
-		s.unsent = append(s.unsent, id)
-	}
+	s.released[id] = time.Now()
 	s.mu.Unlock()
 	if c != nil {
 		s.log("release %s", id)
