Release the sessions of a server whose process is replaced at once

Change: a reported start that differs from the last one is a restart (internal/node/serverlist.go). liveness.ProcessWatch attributes connections and sessions to a process by the opening of the connection, so that sessions of the new process stay; without a report, missing notes on suspect sessions tell, where other servers send theirs. Session loss and the server list moved out of pool.go.

--- a/internal/liveness/detector.go
+++ b/internal/liveness/detector.go
@@ -65,7 +65,7 @@
 // sends none. openConns is the number of open connections to the server. listed reports whether the server list still
 // contains it: a removed server is checked without waiting for its notes.
 func (d *Detector) Next(now, period time.Duration, openConns int, listed bool) Verdict {
-	silence := max(time.Duration(overdueFactor*float64(period)), minSilence)
+	silence := maxNoteSilence(period)
 	if period <= 0 {
 		silence = silenceWithoutNotes
 	}
--- a/internal/node/checkservers.go
+++ b/internal/node/checkservers.go
@@ -49,6 +49,7 @@
 		if len(s.activeSessions) == 0 && !s.pendingReleases.HasWaiting() {
 			continue
 		}
+		p.loseSuspectedSessions(s, now)
 		switch p.nextVerdict(s, now) {
 		case liveness.Check:
 			due = append(due, s)
--- a/internal/node/localerrors_test.go
+++ b/internal/node/localerrors_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"rainpulley/internal/rtsp"
+	"rainpulley/internal/socketerror"
 )
 
 // These tests cover system calls that fail transiently for local reasons: no accepted connection or request is lost,
@@ -193,17 +194,19 @@
 		t.Errorf("read %q, %v", got, err)
 	}
 	writer := &failingConn{errnos: transient}
-	failed := make(chan struct{})
-	out := &writeQueue{conn: writer, onError: func() { close(failed) }}
+	failed := make(chan socketerror.Category, 1)
+	out := &writeQueue{conn: writer, onError: func(c socketerror.Category) { failed <- c }}
 	out.enqueue(func(b []byte) []byte { return append(b, message...) })
 	eventually(t, "all output written", func() bool { return !out.isWriting() })
 	if !bytes.Equal(writer.out.Bytes(), message) {
 		t.Errorf("written %q", writer.out.Bytes())
 	}
 	broken := &failingConn{errnos: []syscall.Errno{syscall.EPIPE}}
-	out = &writeQueue{conn: broken, onError: func() { close(failed) }}
+	out = &writeQueue{conn: broken, onError: func(c socketerror.Category) { failed <- c }}
 	out.enqueue(func(b []byte) []byte { return append(b, message...) })
-	<-failed
+	if category := <-failed; category != socketerror.PeerReset {
+		t.Errorf("write after the peer closed the connection: category %v, want %v", category, socketerror.PeerReset)
+	}
 	if _, err := (&deadlineReader{conn: &failingConn{errnos: []syscall.Errno{syscall.ECONNRESET}}}).Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("read after a reset: error %v, want ECONNRESET", err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,14 +139,14 @@
 	case !whole:
 		return nil
 	}
-	addresses := make(map[string]string, len(entries))
+	reports := make(map[string]serverReport, len(entries))
 	for _, e := range entries {
-		addresses[e.ID] = e.Addr
+		reports[e.ID] = serverReport{addr: e.Addr, startedMs: e.StartedMs}
 	}
 	// The controller is updated first: when the pool then stops a set-up because its server drains, the controller
 	// knows of the drain and places the set-up on another server.
 	n.orchestrator.AddEvent(control.ListUpdate{Whole: whole || cached, Cached: cached, Servers: list})
-	n.pool.applyList(list, addresses, whole)
+	n.pool.applyList(list, reports, whole)
 	n.Log.Debug("server list applied", "whole", whole, "servers", len(list))
 	return nil
 }
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -36,19 +36,30 @@
 type server struct {
 	id, addr         string
 	state            control.ServerState
-	started          time.Duration
+	listed           bool          // a list has named the server
+	started          time.Duration // start time on this node's clock; 0: none was reported
+	reportedStartMs  int64         // start time as last reported, on the clock of the coordinator; 0: none was
 	conns            []*serverConn // open
 	idleConns        []*serverConn // those of conns without a set-up, the most recently used last
 	unconnectedSince time.Duration
-	activeSessions   map[string]bool
+	activeSessions   map[string]activeSession
 	abandonedSetUps  map[string]bool // set-ups whose connection broke: they may still run, unused
 	heldReleases     map[string]bool // abandoned or given-up set-ups whose request is still open: see holdRelease
 	detector         liveness.Detector
+	process          liveness.ProcessWatch
+	lastNoteAt       time.Duration               // when the last note about an active session arrived
 	pendingReleases  *delivery.Pending[struct{}] // for sessions that the server no longer needs to run
 	earlyEnds        map[string]earlyEnd         // ends of sessions that this node does not know yet
 	reconnectAt      time.Duration               // when a new connection is due, if set: see scheduleReconnect
 }
 
+// activeSession is a session that a server runs for this node.
+type activeSession struct {
+	// openedAt is when the connection of its set-up was opened, or when this node took the session over. It tells which
+	// process of the server runs the session.
+	openedAt time.Duration
+}
+
 // earlyEnd is a server's report that a session has ended, received before this node knows the session. After a restart
 // it may arrive on a connection that was opened for another session, and servers send it only once.
 type earlyEnd struct {
@@ -73,108 +84,14 @@
 	return &pool{node: n, maxConns: connLimit, servers: map[string]*server{}, retired: map[*serverConn]struct{}{}}
 }
 
-// applyList applies a change of the server list, or a whole list. A server with a new address or a later start time is
-// a different instance: the sessions of the previous one are lost.
-func (p *pool) applyList(entries []control.Server, addr map[string]string, whole bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if whole {
-		for _, s := range p.servers {
-			s.state = control.Gone
-		}
-	}
-	now := p.node.now()
-	for _, e := range entries {
-		s := p.servers[e.ID]
-		if s == nil {
-			if e.State == control.Gone {
-				continue
-			}
-			s = p.addServer(e.ID, now)
-		}
-		s.state = e.State
-		if a := addr[e.ID]; a != "" && a != s.addr {
-			if s.addr != "" {
-				p.loseSessions(s, "server address changed")
-			}
-			s.addr = a
-		}
-		if e.Started > s.started && s.started > 0 {
-			p.loseSessions(s, "server restarted")
-		}
-		s.started = max(s.started, e.Started)
-	}
-	p.loseReplacedServers()
-	p.removeGoneServers()
-}
-
 func (p *pool) addServer(id string, now time.Duration) *server {
-	s := &server{id: id, unconnectedSince: now, activeSessions: map[string]bool{},
+	s := &server{id: id, unconnectedSince: now, activeSessions: map[string]activeSession{},
 		abandonedSetUps: map[string]bool{}, heldReleases: map[string]bool{}, detector: liveness.New(now),
 		pendingReleases: delivery.New[struct{}](releaseLifetime, releaseDeliveryWindow), earlyEnds: map[string]earlyEnd{}}
 	p.servers[id] = s
 	return s
 }
 
-// loseReplacedServers ends the sessions of removed servers whose address now belongs to another listed server.
-func (p *pool) loseReplacedServers() {
-	gone := map[string][]*server{} // by address; few servers, while the list may be long
-	for _, s := range p.servers {
-		if s.state == control.Gone {
-			gone[s.addr] = append(gone[s.addr], s)
-		}
-	}
-	if len(gone) == 0 {
-		return
-	}
-	for _, s := range p.servers {
-		if s.state == control.Gone {
-			continue
-		}
-		for _, replaced := range gone[s.addr] {
-			p.loseSessions(replaced, "address reassigned to another server")
-		}
-	}
-}
-
-// removeGoneServers deletes removed servers without sessions, unsent releases, set-ups or checks in progress.
-func (p *pool) removeGoneServers() {
-	for id, s := range p.servers {
-		busy := len(s.activeSessions) > 0 || len(s.heldReleases) > 0 || s.pendingReleases.HasWaiting() ||
-			len(s.idleConns) < len(s.conns) || s.detector.CheckInProgress()
-		if s.state == control.Gone && !busy {
-			for len(s.conns) > 0 {
-				p.retireConn(s.conns[0]) // flushes a release that may still be queued on it
-			}
-			delete(p.servers, id)
-		}
-	}
-}
-
-func (p *pool) closeServerConns(s *server) {
-	for len(s.conns) > 0 {
-		p.dropConn(s.conns[0])
-	}
-}
-
-// loseSessions ends all sessions of a server that no longer runs them.
-func (p *pool) loseSessions(s *server, reason string) {
-	p.closeServerConns(s)
-	s.pendingReleases = delivery.New[struct{}](releaseLifetime, releaseDeliveryWindow) // no session is left to release
-	s.reconnectAt = 0
-	clear(s.heldReleases)
-	if len(s.activeSessions) == 0 {
-		return
-	}
-	ids := make([]string, 0, len(s.activeSessions))
-	for id := range s.activeSessions {
-		ids = append(ids, id)
-	}
-	clear(s.activeSessions)
-	p.node.Log.Info("sessions lost", "server", s.id, "sessions", len(ids), "why", reason)
-	go p.node.orchestrator.SessionsLost(s.id, ids) // outside the lock, which the orchestrator's goroutine takes too
-}
-
 // sessionCounts is the number of sessions and set-ups at a server, as counted by the controller and on the sockets.
 type sessionCounts struct{ controller, sockets int }
 
@@ -204,7 +121,7 @@
 		delete(s.earlyEnds, id)
 		return end, true
 	}
-	s.activeSessions[id] = true
+	s.activeSessions[id] = activeSession{openedAt: p.node.now()}
 	return earlyEnd{}, false
 }
 
@@ -217,7 +134,7 @@
 	if s == nil {
 		return
 	}
-	wasActive := s.activeSessions[id]
+	_, wasActive := s.activeSessions[id]
 	if !wasActive && !s.abandonedSetUps[id] {
 		return // the set-up was given up or refused: the server runs nothing for it
 	}
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -197,7 +197,7 @@
 	now := p.node.now()
 	c := &serverConn{server: s, id: p.lastConnID, openedAt: now, conn: conn,
 		results: make(chan core.Result, 1), lastActivity: now}
-	c.out.conn, c.out.onError = conn, func() { p.closeConn(c, false) }
+	c.out.conn, c.out.onError = conn, func(cause socketerror.Category) { p.closeConn(c, cause) }
 	s.conns = append(s.conns, c)
 	p.readers.Go(func() { p.readConn(c) })
 	p.sendReleases(s)
@@ -217,14 +217,17 @@
 	return liveness.NoResponse
 }
 
-// closeConn closes a connection that can no longer be read or written. If orderly is set, neither side broke the
-// connection, and the server has read everything that was written on it.
-func (p *pool) closeConn(c *serverConn, orderly bool) {
+// closeConn closes a connection that can no longer be read or written, because of an error of the given category.
+func (p *pool) closeConn(c *serverConn, cause socketerror.Category) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !orderly {
+	// After an orderly close by either side, the server has read everything that was written on the connection.
+	if cause != socketerror.ClosedLocally && cause != socketerror.PeerClosed {
 		p.resendGiveUps(c)
 	}
+	if !c.detached && (cause == socketerror.PeerClosed || cause == socketerror.PeerReset) {
+		c.server.process.RecordConnEnd(c.openedAt, p.node.now())
+	}
 	p.dropConn(c)
 	p.scheduleReconnect(c.server, reconnectDelay)
 }
@@ -256,7 +259,8 @@
 
 // runsSession reports whether a session is active at a server or its set-up is in progress there.
 func (s *server) runsSession(id string) bool {
-	return s.activeSessions[id] || slices.ContainsFunc(s.conns, func(c *serverConn) bool { return c.activeID == id })
+	_, active := s.activeSessions[id]
+	return active || slices.ContainsFunc(s.conns, func(c *serverConn) bool { return c.activeID == id })
 }
 
 // scheduleReconnect schedules a new connection to a server with sessions after a delay, even if others are open. A
@@ -331,7 +335,7 @@
 	p.mu.Lock()
 	p.closed = true
 	for _, s := range p.servers {
-		p.closeServerConns(s)
+		p.closeServerConns(s, liveness.AllConnections)
 	}
 	for c := range p.retired {
 		p.closeRetired(c)
--- a/internal/node/serverread.go
+++ b/internal/node/serverread.go
@@ -20,8 +20,7 @@
 		m, err := p.nextMessage(c, r)
 		if err != nil {
 			p.node.Log.Debug("connection to server closed", "server", c.server.id, "error", err)
-			category := socketerror.Classify(err, socketerror.Transfer)
-			p.closeConn(c, category == socketerror.ClosedLocally || category == socketerror.PeerClosed)
+			p.closeConn(c, socketerror.Classify(err, socketerror.Transfer))
 			return
 		}
 		if p.handleMessage(c, m) {
@@ -56,6 +55,8 @@
 	p.mu.Lock()
 	c.lastActivity = p.node.now()
 	c.server.detector.RecordHeartbeat(c.lastActivity)
+	active, isActive := c.server.activeSessions[m.ID]
+	c.recordProcessAlive(active, isActive)
 	matches := c.activeID != "" && c.activeID == m.ID
 	switch {
 	case m.Type == jsonlines.TypeReady && matches && !c.isProbe:
@@ -64,7 +65,7 @@
 			r = core.Result{Outcome: control.Failed, Load: load} // it ran, but returned no description
 		} else {
 			r.Payload = *m.Text
-			c.server.activeSessions[m.ID] = true
+			c.server.activeSessions[m.ID] = activeSession{openedAt: c.openedAt}
 		}
 		answered = c.deliverResult(r)
 		p.mu.Unlock()
@@ -88,9 +89,11 @@
 		p.mu.Unlock()
 		p.handleSessionEnd(c, m, load)
 	case m.Type == jsonlines.TypeEvent:
-		active := c.server.activeSessions[m.ID]
+		if isActive {
+			c.server.lastNoteAt = c.lastActivity
+		}
 		p.mu.Unlock()
-		if kind, v, ok := parseNote(m); ok && active {
+		if kind, v, ok := parseNote(m); ok && isActive {
 			if p.node.Log.Enabled(context.Background(), slog.LevelDebug) {
 				p.node.Log.Debug("note", "session", m.ID, "server", c.server.id, "note", m.Attr("note"), "value", v)
 			}
@@ -102,6 +105,18 @@
 	return answered
 }
 
+// recordProcessAlive records that the process at the other end of a connection runs, and the process of the active
+// session, if any, that a message on it concerns.
+func (c *serverConn) recordProcessAlive(active activeSession, isActive bool) {
+	if c.detached {
+		return
+	}
+	c.server.process.RecordMessage(c.openedAt)
+	if isActive {
+		c.server.process.RecordMessage(active.openedAt)
+	}
+}
+
 // handleSessionEnd handles a server's release of a session that is active or not known to this node yet.
 func (p *pool) handleSessionEnd(c *serverConn, m *jsonlines.Message, load *control.LoadReport) {
 	outcome, ok := endOutcomes[m.Cause()]
@@ -109,7 +124,7 @@
 		outcome = control.Reset
 	}
 	p.mu.Lock()
-	wasActive := c.server.activeSessions[m.ID]
+	_, wasActive := c.server.activeSessions[m.ID]
 	delete(c.server.activeSessions, m.ID)
 	if !wasActive {
 		p.storeEarlyEnd(c.server, m.ID, earlyEnd{outcome, load, p.node.now()})
--- /dev/null
+++ b/internal/node/sessionloss.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"time"
+
+	"rainpulley/internal/delivery"
+	"rainpulley/internal/liveness"
+)
+
+// loseSessions ends all sessions of a server that no longer runs them.
+func (p *pool) loseSessions(s *server, reason string) {
+	s.process.RecordAllLost(p.node.now())
+	p.loseSessionsBefore(s, liveness.AllConnections, reason)
+}
+
+// loseSessionsBefore ends the sessions of a server whose connections were opened before a time, together with those
+// connections: they were run by a process that has ended.
+func (p *pool) loseSessionsBefore(s *server, before time.Duration, reason string) {
+	closed := p.closeServerConns(s, before)
+	if before == liveness.AllConnections { // no session is left to release
+		s.pendingReleases = delivery.New[struct{}](releaseLifetime, releaseDeliveryWindow)
+		s.reconnectAt = 0
+		clear(s.heldReleases)
+	}
+	var ids []string
+	for id, active := range s.activeSessions {
+		if active.openedAt < before {
+			ids = append(ids, id)
+			delete(s.activeSessions, id)
+		}
+	}
+	if len(ids) == 0 {
+		return
+	}
+	p.node.Log.Info("sessions lost", "server", s.id, "sessions", len(ids), "kept", len(s.activeSessions),
+		"connections closed", closed, "why", reason)
+	go p.node.orchestrator.SessionsLost(s.id, ids) // outside the lock, which the orchestrator's goroutine takes too
+}
+
+// closeServerConns closes the connections to a server that were opened before a time, and returns their number.
+func (p *pool) closeServerConns(s *server, before time.Duration) (closed int) {
+	for i := 0; i < len(s.conns); {
+		if c := s.conns[i]; c.openedAt < before {
+			p.dropConn(c) // removes it from s.conns
+			closed++
+			continue
+		}
+		i++
+	}
+	return closed
+}
+
+// loseSuspectedSessions ends the sessions of a process that has probably been replaced by another one, or that has been
+// according to the server list. While no server with sessions sends notes, their absence says nothing: reports may be
+// delayed or missing everywhere.
+func (p *pool) loseSuspectedSessions(s *server, now time.Duration) {
+	if before := s.process.LostByRestart(now); before > 0 && s.hasSessionSince(before) {
+		p.loseSessionsBefore(s, before, "server restarted")
+	}
+	period := p.node.Config.Set.LinkNoteInterval
+	if len(s.conns) == 0 {
+		return
+	}
+	before, ended := s.process.SuspicionConfirmed(now, period, s.connectedSince())
+	if !ended || p.notesMissingElsewhere(s, now, now-before) {
+		return
+	}
+	s.process.RecordSuspectsLost()
+	p.loseSessionsBefore(s, before, "connections ended, then no notes: probably another process")
+}
+
+// connectedSince returns when the oldest open connection was opened.
+func (s *server) connectedSince() time.Duration {
+	since := liveness.AllConnections
+	for _, c := range s.conns {
+		since = min(since, c.openedAt)
+	}
+	return since
+}
+
+// notesMissingElsewhere reports whether other servers have sessions for longer than a time, and none of them has sent a
+// note within it.
+func (p *pool) notesMissingElsewhere(suspect *server, now, within time.Duration) bool {
+	expected := false
+	for _, s := range p.servers {
+		if s == suspect || !s.hasSessionSince(now-within) {
+			continue
+		}
+		if now-s.lastNoteAt <= within {
+			return false
+		}
+		expected = true
+	}
+	return expected
+}
+
+// hasSessionSince reports whether a session is active whose connection was opened before a time.
+func (s *server) hasSessionSince(opened time.Duration) bool {
+	for _, active := range s.activeSessions {
+		if active.openedAt < opened {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/viewerconn.go
+++ b/internal/node/viewerconn.go
@@ -47,7 +47,7 @@
 	c := &viewerConn{node: n, conn: conn, remoteHost: host, openedAt: now, lastUsed: now,
 		openSetUps: map[string]*session{}, drained: make(chan struct{}), done: make(chan struct{})}
 	c.in.conn = conn
-	c.out.conn, c.out.onError = conn, c.handleWriteError
+	c.out.conn, c.out.onError = conn, func(socketerror.Category) { c.handleWriteError() }
 	return c
 }
 
--- a/internal/node/writequeue.go
+++ b/internal/node/writequeue.go
@@ -13,7 +13,7 @@
 // there is something to write. A peer that reads too slowly loses its connection.
 type writeQueue struct {
 	conn    net.Conn
-	onError func() // called once, when the connection can no longer be written to
+	onError func(socketerror.Category) // called once, when the connection can no longer be written to
 
 	mu      sync.Mutex
 	pending []byte
@@ -55,7 +55,7 @@
 	}
 	if len(q.pending) > maxPendingBytes {
 		q.closed = true
-		go q.onError()
+		go q.onError(socketerror.DeadlineExceeded) // the peer reads too slowly
 		return false
 	}
 	q.startWriter()
@@ -129,7 +129,7 @@
 		}
 		if err != nil && !q.closed {
 			q.closed = true
-			go q.onError()
+			go q.onError(socketerror.Classify(err, socketerror.Transfer))
 		}
 		q.mu.Unlock()
 	}
