--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -74,7 +74,7 @@
 		respondWith(updatesJSON(4, "refused")), respondWith(updatesJSON(5, "c", "d")))
 	applied := make(chan string, 100)
 	failNext := true
-	f := New(addr, 1, time.Second, slog.New(slog.DiscardHandler), func(u []Update) error {
+	f := New(addr, 1, slog.New(slog.DiscardHandler), func(u []Update) error {
 		for _, x := range u {
 			if id := x.Endpoints.Servers[0].ID; id == "refused" && failNext {
 				failNext = false
@@ -117,7 +117,7 @@
 	defer close(release)
 	next, nextPolls := startScriptedServer(t, respondWith(updatesJSON(8, "a")))
 	applied := make(chan string, 10)
-	f := New(old, 7, time.Second, slog.New(slog.DiscardHandler), func(u []Update) error {
+	f := New(old, 7, slog.New(slog.DiscardHandler), func(u []Update) error {
 		applied <- u[0].Endpoints.Servers[0].ID
 		return nil
 	})
--- a/internal/coordinator/follower_test.go
+++ b/internal/coordinator/follower_test.go
@@ -16,7 +16,7 @@
 // each call of Apply, which lists the merged entries.
 func startFollower(t *testing.T, addr string, lastIndex int64) (f *Follower, applied chan string) {
 	applied = make(chan string, 100)
-	f = New(addr, lastIndex, time.Second, slog.New(slog.DiscardHandler), func(u []Update) error {
+	f = New(addr, lastIndex, slog.New(slog.DiscardHandler), func(u []Update) error {
 		entries, full := Merge(u)
 		ids := []string{fmt.Sprintf("full=%v", full)}
 		for _, e := range entries {
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -43,7 +43,18 @@
 // request.
 type Client struct {
 	Limits         Limits
-	ConnectTimeout time.Duration // for opening a connection; on expiry the error wraps ErrNotSent
+	ConnectTimeout time.Duration // for opening a connection; on expiry the error wraps ErrNotSent; 0: no limit
+	// Dial opens a connection; if nil, a TCP connection is opened within ConnectTimeout.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+}
+
+// dial opens a connection to an address.
+func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if c.Dial != nil {
+		return c.Dial(ctx, addr)
+	}
+	dialer := net.Dialer{Timeout: c.ConnectTimeout}
+	return dialer.DialContext(ctx, "tcp", addr)
 }
 
 // Do sends one request and reads its response. header holds names and values alternately. When ctx ends, Do closes the
@@ -99,8 +110,7 @@
 func (c *Client) sendRequest(
 	ctx context.Context, addr, method, target string, header []string, body []byte,
 ) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: c.ConnectTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	conn, err := c.dial(ctx, addr)
 	if err != nil {
 		return nil, withContextCause(ctx, fmt.Errorf("%w: %w", ErrNotSent, err))
 	}
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	n.follower = coordinator.New(listenLoopback(b).Addr().String(), 1, n.Config.Platform.ConnectTimeout, n.Log,
+	n.follower = coordinator.New(listenLoopback(b).Addr().String(), 1, n.Log,
 		n.handleUpdates)
 	n.Listener, n.ArrivalWindow = viewerEnd, -n.longestDeadline()
 	over := make(chan error, 1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,7 +91,7 @@
 		AnswerSlack: c.Platform.AnswerSlack + socketSlack,
 		Budget:      core.Budget{Span: c.Set.BudgetSpan, Share: c.Set.BudgetShare}, Log: log,
 		Decider: decider, Executor: n.pool, Now: n.now})
-	n.follower = coordinator.New(c.Coordinator, c.Known.Index, c.Platform.ConnectTimeout, log, n.handleUpdates)
+	n.follower = coordinator.New(c.Coordinator, c.Known.Index, log, n.handleUpdates)
 	n.follower.OnResponse = n.recordCoordinatorContact
 	return n, nil
 }
