Hear a slow planner and a slow catalogue: overdue requests stay open

What operators would see: an edge whose planner takes over 250 ms to connect, or over 5 s for the first line, and a planner whose catalogue answers over 5 s after the wait, hear nothing for as long as that lasts, so that no drain arrives.

Cause: the same fixed limits with the same retries: plannerReadTimeout and Attempts.ConnectTimeout in the edge's followPlanner, queryTimeoutMargin in Consul.runBlockingQuery.

Change: internal/hedge runs a call again when it is overdue (5 s, as before) and keeps the earlier runs, three at most, the oldest by a limit that adapts. The edge opens its stream so (internal/edge/plannerstream.go, out of fleet.go; http1.Client.OpenLines reads the head of a stream apart from its lines), the planner its queries.

Measured: TestSlowCatalogue fails on the code before ("6s late: context deadline exceeded"); TestSlowPlanner hangs with the fixed limits put back (endless retries); both pass, under -race, as do the tests of edge, planner, scenario, registry and http1.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -18,60 +17,6 @@
 	"rainpulley/internal/viewstore"
 )
 
-const (
-	plannerReadTimeout = 5 * time.Second // the planner sends at least one line per second
-	minRetryDelay      = 100 * time.Millisecond
-	maxRetryDelay      = 3 * time.Second
-)
-
-// followPlanner starts the release workers and then applies the views that the planner streams, until ctx ends.
-// While the planner is unreachable the last view remains in effect. Retries back off exponentially with jitter,
-// so that edges do not reconnect to a restarted planner at the same time.
-func (e *Edge) followPlanner(ctx context.Context) {
-	for range releaseWorkers {
-		e.spawn(func() { e.boxes.sendReleases(ctx) })
-	}
-	if e.Planner == "" {
-		return
-	}
-	wait := minRetryDelay
-	for ctx.Err() == nil {
-		current := e.fleet.Load().view
-		whole := true // the first line of a stream is the whole view
-		_, err := e.boxes.http.StreamLines(ctx, e.Planner, "/v1/stream?edge="+strconv.Itoa(e.Position), plannerReadTimeout,
-			func(data []byte) error {
-				line, err := view.Decode(data)
-				if err != nil {
-					return err
-				}
-				next, changed, err := view.Apply(current, line)
-				if err != nil {
-					return err
-				}
-				wait = minRetryDelay
-				if line.Holds != nil {
-					defer e.applyHolds(line.Holds) // after the boxes that the holds name are applied
-				}
-				if changed {
-					current = next
-					e.applyView(current, line, whole, false)
-					whole = false
-				}
-				return nil
-			})
-		if ctx.Err() != nil {
-			return
-		}
-		e.Log.Warn("planner unreachable; the last view remains in effect", "planner", e.Planner,
-			"version", current.Version, "error", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait/2 + rand.N(wait)):
-		}
-		wait = min(2*wait, maxRetryDelay)
-	}
-}
-
 // applyView makes v the current view and sends the boxes of line to the module. whole marks the boxes as the
 // complete list; cached means that v was read from disk.
 func (e *Edge) applyView(v view.View, line view.Update, whole, cached bool) {
--- /dev/null
+++ b/internal/hedge/hedge_test.go
@@ -0,0 +1,103 @@
+package hedge
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rainpulley/internal/timelimit"
+)
+
+const overdue = 5 * time.Second
+
+// newCall returns a call whose runs take what take returns for their number; 0 means that a run never returns by itself.
+func newCall(take func(run int) time.Duration, fail error) (call Call[int], discarded *[]int) {
+	var runs atomic.Int64
+	discarded = new([]int)
+	return Call[int]{Overdue: overdue, Limit: timelimit.NewAdaptive(2*overdue, 20*overdue),
+		Discard: func(run int) { *discarded = append(*discarded, run) },
+		Run: func(ctx context.Context) (int, error) {
+			number := int(runs.Add(1))
+			var done <-chan time.Time
+			if d := take(number); d > 0 {
+				done = time.After(d)
+			}
+			select {
+			case <-done:
+				return number, fail
+			case <-ctx.Done():
+				return 0, ctx.Err()
+			}
+		}}, discarded
+}
+
+// TestSlowPeer checks that a peer which answers each run, however late, is heard in at most three times that time: runs
+// are cancelled until the limit, which doubles, is long enough.
+func TestSlowPeer(t *testing.T) {
+	for take := time.Second; take < time.Minute; take += 700 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			call, _ := newCall(func(int) time.Duration { return take }, nil)
+			started := time.Now()
+			if _, err := call.Do(t.Context()); err != nil || time.Since(started) > 3*take {
+				t.Errorf("runs of %v: done after %v, %v", take, time.Since(started), err)
+			}
+		})
+	}
+}
+
+// TestForgottenRuns checks that a peer which has forgotten the first runs is heard soon after it works again.
+func TestForgottenRuns(t *testing.T) {
+	for forgotten := range 30 {
+		synctest.Test(t, func(t *testing.T) {
+			call, discarded := newCall(func(run int) time.Duration {
+				if run <= forgotten {
+					return 0
+				}
+				return time.Second
+			}, nil)
+			started := time.Now()
+			value, err := call.Do(t.Context())
+			if want := time.Duration(forgotten)*overdue + time.Second; err != nil || value != forgotten+1 ||
+				time.Since(started) > want {
+				t.Errorf("%d forgotten: run %d done after %v, want %v: %v", forgotten, value, time.Since(started), want, err)
+			}
+			if len(*discarded) > 0 {
+				t.Errorf("discarded %v", *discarded)
+			}
+		})
+	}
+}
+
+// TestErrors checks that a run that fails ends the call if no other is open, and that an end of the context does.
+func TestErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		failed := errors.New("refused")
+		call, _ := newCall(func(int) time.Duration { return time.Second }, failed)
+		if _, err := call.Do(t.Context()); !errors.Is(err, failed) {
+			t.Errorf("error %v, want %v", err, failed)
+		}
+		call, _ = newCall(func(int) time.Duration { return 0 }, nil)
+		ctx, stop := context.WithTimeout(t.Context(), 7*time.Second)
+		defer stop()
+		if _, err := call.Do(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("error %v, want %v", err, context.DeadlineExceeded)
+		}
+	})
+}
+
+// TestUnneededResult checks that the result of a run that succeeds at the same time as another is discarded.
+func TestUnneededResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		call, discarded := newCall(func(run int) time.Duration { return 2*overdue - time.Duration(run)*overdue + time.Second }, nil)
+		call.Run = func(run func(context.Context) (int, error)) func(context.Context) (int, error) {
+			return func(ctx context.Context) (int, error) { return run(context.WithoutCancel(ctx)) }
+		}(call.Run)
+		value, err := call.Do(t.Context())
+		if err != nil || len(*discarded) != 1 || value+(*discarded)[0] != 3 {
+			t.Errorf("run %d, discarded %v, %v", value, *discarded, err)
+		}
+	})
+}
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -138,31 +138,62 @@
 func (c *Client) StreamLines(
 	ctx context.Context, addr, target string, idleTimeout time.Duration, handleLine func([]byte) error,
 ) (bool, error) {
-	conn, err := c.sendRequest(ctx, addr, "GET", target, nil, nil)
+	stream, err := c.OpenLines(ctx, addr, target, idleTimeout)
 	if err != nil {
 		return false, err
 	}
-	defer conn.Close()
+	return true, stream.Read(ctx, idleTimeout, handleLine)
+}
+
+// LineStream is a long-lived response that is read by lines.
+type LineStream struct {
+	conn  net.Conn
+	lines *lineReader
+}
+
+// OpenLines sends a GET request for a long-lived response and reads its head. It fails unless the status is 200, or if
+// ctx ends or the head takes longer than timeout; 0 means no timeout.
+func (c *Client) OpenLines(ctx context.Context, addr, target string, timeout time.Duration) (*LineStream, error) {
+	conn, err := c.sendRequest(ctx, addr, "GET", target, nil, nil)
+	if err != nil {
+		return nil, err
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
+	if timeout > 0 {
+		_ = conn.SetReadDeadline(time.Now().Add(timeout))
+	}
 	reader := bufio.NewReaderSize(conn, c.Limits.MaxLineBytes)
 	response := &Response{}
-	if err := response.readResponse(reader, c.Limits); err != nil {
-		return false, withContextCause(ctx, err)
+	err = response.readResponse(reader, c.Limits)
+	if err == nil && response.Status != 200 {
+		err = fmt.Errorf("http1: %s%s returned status %d", addr, target, response.Status)
 	}
-	if response.Status != 200 {
-		return false, fmt.Errorf("http1: %s%s returned status %d", addr, target, response.Status)
+	if err != nil {
+		_ = conn.Close()
+		return nil, withContextCause(ctx, err)
 	}
-	lines := &lineReader{r: reader, chunked: response.chunked, maxLineBytes: c.Limits.MaxBodyBytes}
+	return &LineStream{conn: conn,
+		lines: &lineReader{r: reader, chunked: response.chunked, maxLineBytes: c.Limits.MaxBodyBytes}}, nil
+}
+
+// Close closes the connection of the stream.
+func (s *LineStream) Close() { _ = s.conn.Close() }
+
+// Read calls handleLine for each line until the response or ctx ends, handleLine fails or no data arrives for
+// idleTimeout. It closes the stream.
+func (s *LineStream) Read(ctx context.Context, idleTimeout time.Duration, handleLine func([]byte) error) error {
+	defer s.Close()
+	stop := context.AfterFunc(ctx, s.Close)
+	defer stop()
 	for {
-		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
-		line, err := lines.next()
+		_ = s.conn.SetReadDeadline(time.Now().Add(idleTimeout))
+		line, err := s.lines.next()
 		if err != nil {
-			return true, withContextCause(ctx, err)
+			return withContextCause(ctx, err)
 		}
 		if err := handleLine(line); err != nil {
-			return true, err
+			return err
 		}
 	}
 }
--- a/internal/registry/consul.go
+++ b/internal/registry/consul.go
@@ -12,6 +12,8 @@
 	"github.com/hashicorp/consul/api"
 
 	"rainpulley/internal/config"
+	"rainpulley/internal/hedge"
+	"rainpulley/internal/timelimit"
 )
 
 // Consul reads boxes from the health API and titles from the key-value store, by blocking queries.
@@ -23,11 +25,12 @@
 }
 
 const (
-	minRetryDelay      = 200 * time.Millisecond
-	maxRetryDelay      = 15 * time.Second
-	minQueryInterval   = 100 * time.Millisecond // limits the query rate while the catalogue changes all the time
-	queryTimeoutMargin = 5 * time.Second        // added to the wait, which the server lengthens by up to a sixteenth
-	maxEntries         = 20000
+	minRetryDelay    = 200 * time.Millisecond
+	maxRetryDelay    = 15 * time.Second
+	minQueryInterval = 100 * time.Millisecond // limits the query rate while the catalogue changes all the time
+	overdueMargin    = 5 * time.Second        // a query is overdue this long after the longest wait
+	maxQueryLimit    = 10 * time.Minute       // an unanswered query is kept this long at most, beyond the wait
+	maxEntries       = 20000
 )
 
 // NewConsul makes a client without sending a request.
@@ -118,18 +121,32 @@
 	wg.Wait()
 }
 
+// queryAnswer is the answer to one query; apply takes it over.
+type queryAnswer struct {
+	meta  *api.QueryMeta
+	apply func()
+}
+
 // runBlockingQuery repeats one blocking query until ctx ends. It follows Consul's rules for blocking queries: an
 // index that goes backwards is reset to 0, and an index is at least 1, because a query from 0 does not wait; the
 // server lengthens a wait by up to a sixteenth. Every answer is applied, also one at the same index, because it
 // renews the age. The delay after an error doubles and is randomized, so that clients do not return to a restarted
-// catalogue at the same time.
+// catalogue at the same time. An overdue query is followed by another one and stays open: with a fixed time limit, a
+// catalogue that is slower would never be heard.
 func (c *Consul) runBlockingQuery(ctx context.Context, subject string, onError func(error),
 	query func(*api.QueryOptions) (*api.QueryMeta, func(), error)) {
 	index, retryDelay := uint64(0), minRetryDelay
+	longestWait := c.Config.Wait.Std() * 17 / 16 // the server lengthens the wait by up to a sixteenth
+	overdue := longestWait + overdueMargin
+	hedged := hedge.Call[queryAnswer]{Overdue: overdue,
+		Limit: timelimit.NewAdaptive(2*overdue, longestWait+maxQueryLimit),
+		Run: func(ctx context.Context) (queryAnswer, error) {
+			meta, apply, err := query(c.queryOptions(ctx, index))
+			return queryAnswer{meta, apply}, err
+		}}
 	for ctx.Err() == nil {
-		queryCtx, cancel := context.WithTimeout(ctx, c.Config.Wait.Std()*17/16+queryTimeoutMargin)
-		meta, apply, err := query(c.queryOptions(queryCtx, index))
-		cancel()
+		answer, err := hedged.Do(ctx)
+		meta := answer.meta
 		if ctx.Err() != nil {
 			return
 		}
@@ -149,7 +166,7 @@
 			} else {
 				index = max(meta.LastIndex, 1)
 			}
-			apply()
+			answer.apply()
 		}
 		select {
 		case <-ctx.Done():
