Planner: a restart counts though the box does not report when it started

What callers would see: a box restarts and reports another boot ID but no start time, or only the catalogue reports its start; edges take it for warm, and nothing limits how many sessions they send to it in its slow start.

Cause: Monitor.RecordCheck changed the start time only if the box reported one; Monitor.SetReported heeded the sources' start time only if the box had one of its own (StartedMs > 0).

Change: a new boot ID without a start time counts as started at this answer, and the sources' start time counts where the box reports none.

Measured: TestRestartWithoutReportedStart failed before in all three checks (0 ms in place of 103000, 103000, 50000 ms) and passes, as do the tests of planner and edge, under -race.

--- a/internal/planner/monitor.go
+++ b/internal/planner/monitor.go
@@ -113,8 +113,8 @@
 	}
 	b.missedChecks, b.answered, b.linkUtilization, b.streams = 0, true, c.LinkUtilization, c.Streams
 	if c.BootID != b.bootID || b.box.StartedMs == 0 {
-		if !c.Started.IsZero() {
-			b.box.StartedMs = b.startTime(c).UnixMilli()
+		if started := b.startTime(c); !started.IsZero() {
+			b.box.StartedMs = started.UnixMilli()
 		}
 		b.bootID = c.BootID
 	}
@@ -127,9 +127,16 @@
 
 // startTime returns when a box's process started, by the planner's clock. The box's own clock may differ: if it is
 // behind, a box in its slow start would count as fully ramped up and be overloaded. The start is therefore limited
-// to the time between the last answer under the previous boot ID and this answer.
+// to the time between the last answer under the previous boot ID and this answer. It is zero if it is not known: a box
+// that has restarted and does not report when counts as started at this answer.
 func (b *boxState) startTime(c HealthCheck) time.Time {
 	started := c.Started
+	if started.IsZero() {
+		if b.bootID != "" && c.BootID != b.bootID {
+			return c.AnsweredAt
+		}
+		return started
+	}
 	if b.bootID != "" && started.Before(b.lastAnswerAt) {
 		started = b.lastAnswerAt
 	}
@@ -140,14 +147,14 @@
 }
 
 // SetReported sets the state of a box that is reconciled from the sources; its state in the view is never better
-// than that. A start time from the sources replaces the box's own if it is later.
+// than that. A start time from the sources replaces the box's own if it is later, or if the box reports none.
 func (m *Monitor) SetReported(id string, s view.State, started int64) {
 	b := m.boxes[id]
 	if b == nil {
 		return
 	}
 	b.reportedState = s
-	if b.box.StartedMs > 0 && started > b.box.StartedMs {
+	if started > b.box.StartedMs {
 		b.box.StartedMs = started
 	}
 }
--- a/internal/planner/monitor_test.go
+++ b/internal/planner/monitor_test.go
@@ -82,6 +82,34 @@
 	}
 }
 
+// TestRestartWithoutReportedStart guards against a restart that no edge learns of, so that a cold box is overloaded: the
+// box does not report its start, and the catalogue's was used only in place of one of the box's own.
+func TestRestartWithoutReportedStart(t *testing.T) {
+	at := func(s int) time.Time { return time.UnixMilli(int64(1000 * s)) }
+	monitor := NewMonitor(2, 1)
+	monitor.Add(view.Box{ID: "a"})
+	started := func() int64 { v, _ := monitor.View(); return v.Boxes[0].StartedMs }
+	monitor.RecordCheck("a", HealthCheck{Answered: true, BootID: "one", AnsweredAt: at(100)})
+	if got := started(); got != 0 {
+		t.Errorf("started at %d ms before any start was reported", got)
+	}
+	monitor.RecordCheck("a", HealthCheck{Answered: true, BootID: "two", AnsweredAt: at(103)})
+	if got := started(); got != 103_000 {
+		t.Errorf("restarted with another boot ID: started at %d ms, want 103000", got)
+	}
+	monitor.RecordCheck("a", HealthCheck{Answered: true, BootID: "two", AnsweredAt: at(104)})
+	monitor.SetReported("a", view.StateReady, 90_000)
+	if got := started(); got != 103_000 {
+		t.Errorf("no restart: started at %d ms, want 103000", got)
+	}
+	monitor.Add(view.Box{ID: "b"})
+	monitor.SetReported("b", view.StateReady, 50_000)
+	monitor.RecordCheck("b", HealthCheck{Answered: true, BootID: "one", AnsweredAt: at(105)})
+	if v, _ := monitor.View(); v.Boxes[1].StartedMs != 50_000 {
+		t.Errorf("start reported by the catalogue alone: started at %d ms, want 50000", v.Boxes[1].StartedMs)
+	}
+}
+
 // Versions rise by one with each change and only then, and a follower that applies the changes has the same view.
 func TestMonitorProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
