Front node: a server that never sent notes is not taken for replaced by their absence

Cause: with one server, whose notes cannot be compared with those of others, missing notes ended the sessions of a server whose connections were reset, even if it had never sent any.

Change: silence counts there only if the server has sent a note before.

--- a/internal/node/restart_test.go
+++ b/internal/node/restart_test.go
@@ -35,16 +35,21 @@
 				return
 			case <-time.After(50 * time.Millisecond):
 			}
-			b.mu.Lock()
-			if n := len(b.conns); n > 0 {
-				b.conns[n-1].send(`{"msg":"event","sid":%q,"attrs":{"note":"link","value":0.1}}`, id)
-			}
-			b.mu.Unlock()
+			b.sendNote(id)
 		}
 	}()
 	t.Cleanup(func() { close(stop); <-done })
 }
 
+// sendNote sends a note on a session over the connection opened last, if there is one.
+func (b *box) sendNote(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n := len(b.conns); n > 0 {
+		b.conns[n-1].send(`{"msg":"event","sid":%q,"attrs":{"note":"link","value":0.1}}`, id)
+	}
+}
+
 // TestListedRestartReleasesSessions guards against sessions that are never released: a server's process is replaced by
 // one that listens at once, and the list reports its start later. The first start reported for a server was ignored.
 // The sessions of the new process stay.
@@ -129,18 +134,35 @@
 // servers send theirs. A process that has only closed its connections goes on sending notes, and where no server sends
 // any, their absence proves nothing: its sessions stay.
 func TestRestartWithoutList(t *testing.T) {
-	for name, c := range map[string]struct{ othersSend, processLives, released bool }{
+	for name, c := range map[string]struct{ alone, sentBefore, othersSend, processLives, released bool }{
 		"new process":                    {othersSend: true, released: true},
 		"only connections reset":         {othersSend: true, processLives: true},
-		"no server sends notes just now": {},
+		"no server sends notes just now": {sentBefore: true},
+		"new process of the only server": {alone: true, sentBefore: true, released: true},
+		"the only server, without notes": {alone: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			a, b := newBox(t, "s-1", nil), newBox(t, "s-2", nil)
 			n := startNode(t, a, b)
-			v := n.dial().send(setUpRequest(idA, "free", ";at:s-1")).send(setUpRequest(idB, "free", ";at:s-2"))
-			n.wantSessionCount(2)
-			eventually(t, "a connection to each server", func() bool { return a.acceptedCount() > 0 && b.acceptedCount() > 0 })
+			v := n.dial().send(setUpRequest(idA, "free", ";at:s-1"))
+			sessions := 1
+			if !c.alone {
+				v.send(setUpRequest(idB, "free", ";at:s-2"))
+				sessions = 2
+			}
+			n.wantSessionCount(sessions)
+			eventually(t, "a connection to each server with sessions", func() bool {
+				return a.acceptedCount() > 0 && (c.alone || b.acceptedCount() > 0)
+			})
+			if c.sentBefore {
+				a.sendNote(idA)
+				eventually(t, "the note", func() bool {
+					n.pool.mu.Lock()
+					defer n.pool.mu.Unlock()
+					return n.pool.servers["s-1"].lastNoteAt > 0
+				})
+			}
 			if c.othersSend {
 				b.sendNotes(t, idB)
 			}
@@ -151,14 +173,14 @@
 			}
 			if c.released {
 				v.wantRelease(idA, "cause=41")
-				n.wantSessionCount(1)
+				n.wantSessionCount(sessions - 1)
 				return
 			}
 			_ = v.SetReadDeadline(time.Now().Add(2500 * time.Millisecond)) // over twice the longest silence
 			if m, err := v.reader.Next(); err == nil {
 				t.Errorf("message for a session that may still run: %+v", m)
 			}
-			n.wantSessionCount(2)
+			n.wantSessionCount(sessions)
 		})
 	}
 }
--- a/internal/node/sessionloss.go
+++ b/internal/node/sessionloss.go
@@ -78,10 +78,10 @@
 	return since
 }
 
-// notesMissingElsewhere reports whether other servers have sessions for longer than a time, and none of them has sent a
-// note within it.
+// notesMissingElsewhere reports whether the other servers that have sessions for longer than a time have sent no note
+// within it, or whether there is none and the server never sent one.
 func (p *pool) notesMissingElsewhere(suspect *server, now, within time.Duration) bool {
-	expected := false
+	missing := suspect.lastNoteAt == 0
 	for _, s := range p.servers {
 		if s == suspect || !s.hasSessionSince(now-within) {
 			continue
@@ -89,9 +89,9 @@
 		if now-s.lastNoteAt <= within {
 			return false
 		}
-		expected = true
+		missing = true
 	}
-	return expected
+	return missing
 }
 
 // hasSessionSince reports whether a session is active whose connection was opened before a time.
