Front node: notes on later sessions make the search for a replaced process wait up to 7 s

A note concerns one session.

Change: if notes concern later sessions only, another one is awaited up to 7 s after the connections' end, which leaves room within the 8 s for the release. Sessions that are ended on such grounds are released at the server as well, in case they run after all.

Tests of node and liveness green under -race; TestRestartWithoutList asks for the release at the server.

--- a/internal/liveness/process.go
+++ b/internal/liveness/process.go
@@ -32,6 +32,7 @@
 type ProcessWatch struct {
 	suspectBefore time.Duration // connections opened before this time may be those of an ended process; 0: no suspicion
 	laterEnd      time.Duration // a connection opened after suspectBefore ended at this time; 0: none did
+	laterSession  bool          // a message has concerned a session that is not suspect
 	lostAt        time.Duration // the sessions opened before this time were found lost; 0: none were
 
 	// A restart that was reported without any sign of when it happened.
@@ -49,32 +50,41 @@
 	}
 }
 
-// RecordMessage records a message that arrived on a connection opened at a time, or that concerns a session of such a
-// connection. If the connection is older than the suspicion, the process was not replaced. After a reported restart, the
-// connections opened since then are those of the process that runs.
+// RecordMessage records a message that arrived on a connection opened at a time. If the connection is older than the
+// suspicion, the process was not replaced. After a reported restart, the connections opened since then are those of the
+// process that runs.
 func (w *ProcessWatch) RecordMessage(openedAt time.Duration) {
 	if w.restartedAt > 0 {
 		w.runningSince = min(w.runningSince, openedAt)
 	}
 	if w.suspectBefore > 0 && openedAt < w.suspectBefore-attributionMargin {
-		w.suspectBefore, w.laterEnd = 0, 0
+		w.suspectBefore, w.laterEnd, w.laterSession = 0, 0, false
 	}
 }
 
+// RecordSessionMessage records a message about a session whose connection was opened at a time. It shows what a message
+// on that connection would show.
+func (w *ProcessWatch) RecordSessionMessage(openedAt time.Duration) {
+	w.RecordMessage(openedAt)
+	w.laterSession = w.suspectBefore > 0 && (w.laterSession || openedAt >= w.suspectBefore)
+}
+
 // SuspicionConfirmed reports whether the sessions opened before a time, which is returned too, have ended: while a
 // connection has been open since connectedSince, the server has sent nothing about them, though a note was due in each
-// period. Without notes (period 0) silence confirms nothing.
+// period. A note concerns one session of several: if one has concerned a later session, another note is awaited as long
+// as the release of those that ended is not overdue. Without notes (period 0) silence confirms nothing.
 func (w *ProcessWatch) SuspicionConfirmed(now, period, connectedSince time.Duration) (before time.Duration, ended bool) {
 	if w.suspectBefore == 0 || period <= 0 {
 		return 0, false
 	}
-	return w.suspectBefore, now-max(w.suspectBefore, connectedSince) >= maxNoteSilence(period)
+	silent := now-max(w.suspectBefore, connectedSince) >= maxNoteSilence(period)
+	return w.suspectBefore, silent && (!w.laterSession || now-w.suspectBefore >= maxUnreportedEnd)
 }
 
 // RecordSuspectsLost records that the sessions which SuspicionConfirmed returned were found lost.
 func (w *ProcessWatch) RecordSuspectsLost() {
 	w.lostAt = w.suspectBefore
-	w.suspectBefore, w.laterEnd = w.laterEnd, 0
+	w.suspectBefore, w.laterEnd, w.laterSession = w.laterEnd, 0, false
 }
 
 // RecordAllLost records that all sessions were found lost.
--- a/internal/liveness/process_test.go
+++ b/internal/liveness/process_test.go
@@ -39,6 +39,20 @@
 			w.RecordMessage(10*second + 1)
 		}, now: 13 * second, period: period, connectedSince: 10 * second, confirmedBefore: 10 * second,
 			restartBefore: 10 * second},
+		"notes on later sessions only": {events: func(w *ProcessWatch) {
+			w.RecordConnEnd(second, 10*second)
+			w.RecordSessionMessage(11 * second)
+		}, now: 16 * second, period: period, connectedSince: 10 * second, restartBefore: 10 * second},
+		"notes on later sessions only, for long": {events: func(w *ProcessWatch) {
+			w.RecordConnEnd(second, 10*second)
+			w.RecordSessionMessage(11 * second)
+		}, now: 17 * second, period: period, connectedSince: 10 * second, confirmedBefore: 10 * second,
+			restartBefore: 10 * second},
+		"notes on later sessions, then on an older one": {events: func(w *ProcessWatch) {
+			w.RecordConnEnd(second, 10*second)
+			w.RecordSessionMessage(11 * second)
+			w.RecordSessionMessage(second)
+		}, now: 17 * second, period: period, restartBefore: 10 * second},
 		"message from the next process, whose connection was handled first": {events: func(w *ProcessWatch) {
 			w.RecordConnEnd(second, 10*second)
 			w.RecordMessage(10*second - time.Millisecond)
--- a/internal/node/restart_test.go
+++ b/internal/node/restart_test.go
@@ -174,6 +174,9 @@
 			if c.released {
 				v.wantRelease(idA, "cause=41")
 				n.wantSessionCount(sessions - 1)
+				if m := a.next(t, "close"); m.ID != idA { // in case it runs after all
+					t.Errorf("release of session %s, want %s", m.ID, idA)
+				}
 				return
 			}
 			_ = v.SetReadDeadline(time.Now().Add(2500 * time.Millisecond)) // over twice the longest silence
--- a/internal/node/serverread.go
+++ b/internal/node/serverread.go
@@ -113,7 +113,7 @@
 	}
 	c.server.process.RecordMessage(c.openedAt)
 	if isActive {
-		c.server.process.RecordMessage(active.openedAt)
+		c.server.process.RecordSessionMessage(active.openedAt)
 	}
 }
 
--- a/internal/node/sessionloss.go
+++ b/internal/node/sessionloss.go
@@ -14,15 +14,14 @@
 }
 
 // loseSessionsBefore ends the sessions of a server whose connections were opened before a time, together with those
-// connections: they were run by a process that has ended.
-func (p *pool) loseSessionsBefore(s *server, before time.Duration, reason string) {
+// connections: they were run by a process that has ended. It returns the ids of the sessions.
+func (p *pool) loseSessionsBefore(s *server, before time.Duration, reason string) (ids []string) {
 	closed := p.closeServerConns(s, before)
 	if before == liveness.AllConnections { // no session is left to release
 		s.pendingReleases = delivery.New[struct{}](releaseLifetime, releaseDeliveryWindow)
 		s.reconnectAt = 0
 		clear(s.heldReleases)
 	}
-	var ids []string
 	for id, active := range s.activeSessions {
 		if active.openedAt < before {
 			ids = append(ids, id)
@@ -30,11 +29,12 @@
 		}
 	}
 	if len(ids) == 0 {
-		return
+		return nil
 	}
 	p.node.Log.Info("sessions lost", "server", s.id, "sessions", len(ids), "kept", len(s.activeSessions),
 		"connections closed", closed, "why", reason)
 	go p.node.orchestrator.SessionsLost(s.id, ids) // outside the lock, which the orchestrator's goroutine takes too
+	return ids
 }
 
 // closeServerConns closes the connections to a server that were opened before a time, and returns their number.
@@ -52,10 +52,10 @@
 
 // loseSuspectedSessions ends the sessions of a process that has probably been replaced by another one, or that has been
 // according to the server list. While no server with sessions sends notes, their absence says nothing: reports may be
-// delayed or missing everywhere.
+// delayed or missing everywhere. A session may run after all, so the server is told to end it.
 func (p *pool) loseSuspectedSessions(s *server, now time.Duration) {
 	if before := s.process.LostByRestart(now); before > 0 && s.hasSessionSince(before) {
-		p.loseSessionsBefore(s, before, "server restarted")
+		p.releaseAll(s, p.loseSessionsBefore(s, before, "server restarted"), now)
 	}
 	period := p.node.Config.Set.LinkNoteInterval
 	if len(s.conns) == 0 {
@@ -66,7 +66,15 @@
 		return
 	}
 	s.process.RecordSuspectsLost()
-	p.loseSessionsBefore(s, before, "connections ended, then no notes: probably another process")
+	p.releaseAll(s, p.loseSessionsBefore(s, before, "connections ended, then no notes: probably another process"), now)
+}
+
+// releaseAll notifies a server that it need not run sessions any longer.
+func (p *pool) releaseAll(s *server, ids []string, now time.Duration) {
+	for _, id := range ids {
+		s.pendingReleases.Add(id, struct{}{}, now)
+	}
+	p.sendReleases(s)
 }
 
 // connectedSince returns when the oldest open connection was opened.
