--- a/internal/edge/boxes.go
+++ b/internal/edge/boxes.go
@@ -241,7 +241,6 @@
 	streamRetryDelay  = 100 * time.Millisecond
 	maxStreamFailures = 4
 	streamIdleTimeout = 20 * time.Second // a stream without sessions is closed after this time
-	maxNoteLineBytes  = 4096
 )
 
 // ensureFollowing starts to follow the event stream of a box unless it is followed already.
--- a/internal/peaks/follower.go
+++ b/internal/peaks/follower.go
@@ -29,9 +29,8 @@
 
 // Follower compares the arrivals of a peak with its announcement. All times are Unix milliseconds.
 type Follower struct {
-	startedAt     int64 // 0: the start was not observed yet
-	arrivals      []arrivalCount
-	totalArrivals float64
+	startedAt int64 // 0: the start was not observed yet
+	arrivals  []arrivalCount
 }
 
 type arrivalCount struct {
@@ -47,7 +46,6 @@
 		return
 	}
 	f.arrivals = append(f.arrivals, arrivalCount{now, count})
-	f.totalArrivals += count
 	share := earlyStartShare
 	if now >= announcement.Start-announcement.Uncertainty {
 		share = dueStartShare
