--- a/internal/node/serverlist.go
+++ b/internal/node/serverlist.go
@@ -49,7 +49,9 @@
 	}
 	if r.startedMs != 0 && r.startedMs != s.reportedStartMs {
 		if s.listed {
-			p.loseSessionsBefore(s, s.process.RecordRestart(now), "server restarted")
+			before := s.process.RecordRestart(now)
+			p.closeServerConns(s, before)
+			p.loseSessionsBefore(s, before, "server restarted")
 		}
 		s.reportedStartMs = r.startedMs
 	}
--- a/internal/node/sessionloss.go
+++ b/internal/node/sessionloss.go
@@ -7,21 +7,19 @@
 	"rainpulley/internal/liveness"
 )
 
-// loseSessions ends all sessions of a server that no longer runs them.
+// loseSessions ends all sessions of a server that no longer runs them, and closes all connections to it.
 func (p *pool) loseSessions(s *server, reason string) {
 	s.process.RecordAllLost(p.node.now())
+	p.closeServerConns(s, liveness.AllConnections)
+	s.pendingReleases = delivery.New[struct{}](releaseLifetime, releaseDeliveryWindow) // no session is left to release
+	s.reconnectAt = 0
+	clear(s.heldReleases)
 	p.loseSessionsBefore(s, liveness.AllConnections, reason)
 }
 
-// loseSessionsBefore ends the sessions of a server whose connections were opened before a time, together with those
-// connections: they were run by a process that has ended. It returns the ids of the sessions.
+// loseSessionsBefore ends the sessions of a server whose connections were opened before a time: they were run by a
+// process that has ended. It returns the ids of the sessions.
 func (p *pool) loseSessionsBefore(s *server, before time.Duration, reason string) (ids []string) {
-	closed := p.closeServerConns(s, before)
-	if before == liveness.AllConnections { // no session is left to release
-		s.pendingReleases = delivery.New[struct{}](releaseLifetime, releaseDeliveryWindow)
-		s.reconnectAt = 0
-		clear(s.heldReleases)
-	}
 	for id, active := range s.activeSessions {
 		if active.openedAt < before {
 			ids = append(ids, id)
@@ -32,27 +30,26 @@
 		return nil
 	}
 	p.node.Log.Info("sessions lost", "server", s.id, "sessions", len(ids), "kept", len(s.activeSessions),
-		"connections closed", closed, "why", reason)
+		"why", reason)
 	go p.node.orchestrator.SessionsLost(s.id, ids) // outside the lock, which the orchestrator's goroutine takes too
 	return ids
 }
 
-// closeServerConns closes the connections to a server that were opened before a time, and returns their number.
-func (p *pool) closeServerConns(s *server, before time.Duration) (closed int) {
+// closeServerConns closes the connections to a server that were opened before a time.
+func (p *pool) closeServerConns(s *server, before time.Duration) {
 	for i := 0; i < len(s.conns); {
 		if c := s.conns[i]; c.openedAt < before {
 			p.dropConn(c) // removes it from s.conns
-			closed++
 			continue
 		}
 		i++
 	}
-	return closed
 }
 
 // loseSuspectedSessions ends the sessions of a process that has probably been replaced by another one, or that has been
 // according to the server list. While no server with sessions sends notes, their absence says nothing: reports may be
-// delayed or missing everywhere. A session may run after all, so the server is told to end it.
+// delayed or missing everywhere. A session may run after all, so the server is told to end it, and no connection is
+// closed: another set-up may wait for its answer there.
 func (p *pool) loseSuspectedSessions(s *server, now time.Duration) {
 	if before := s.process.LostByRestart(now); before > 0 && s.hasSessionSince(before) {
 		p.releaseAll(s, p.loseSessionsBefore(s, before, "server restarted"), now)
