--- a/internal/node/restart_test.go
+++ b/internal/node/restart_test.go
@@ -187,3 +187,22 @@
 		})
 	}
 }
+
+// TestSuspicionClosesNoConnection guards against a set-up that fails because its server once closed another connection:
+// the sessions that no note has named since then are ended, but a connection that waits for an answer stays open.
+func TestSuspicionClosesNoConnection(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startNode(t, b)
+	v := n.dial().send(setUpRequest(idA, "free", ";at:s-1"))
+	eventually(t, "a connection to the server", func() bool { return b.acceptedCount() > 0 })
+	v.send(setUpRequest(idB, "paid", ""))
+	setUp := b.next(t, "open")
+	n.pool.mu.Lock()
+	s, now := n.pool.servers["s-1"], n.now()
+	s.lastNoteAt = now
+	s.process.RecordConnEnd(now-time.Second, now)
+	n.pool.mu.Unlock()
+	v.wantRelease(idA, "cause=41")
+	answerReady(setUp)
+	v.wantAnswer(idB, 200)
+}
