hedge: the result of a run that was cancelled as it succeeded is discarded

Cause: a run that ends in the instant in which its limit cancels it was taken for the answer, but the stream that it had opened was closed with its context. It needs a peer that takes a multiple of the 5 s.

Change: results of cancelled runs are discarded.

Measured: TestCancelledRunSucceeds fails on the code before and passes; hedge's tests 20 times, TestSlowPlanner 40 times, TestSlowCatalogue 20 times under -race, green.

--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -62,11 +62,13 @@
 		case next := <-r.results:
 			r.pending--
 			startedAt, open := r.remove(next.run)
-			if next.err == nil {
+			switch {
+			case !open: // cancelled, perhaps just as it succeeded
+				r.discard(next)
+			case next.err == nil:
 				c.Limit.RecordAnswer(time.Since(startedAt))
 				return next.value, nil
-			}
-			if open && len(r.open) == 0 {
+			case len(r.open) == 0:
 				return value, next.err
 			}
 		}
@@ -121,8 +123,13 @@
 		o.cancel()
 	}
 	for ; r.pending > 0; r.pending-- {
-		if unneeded := <-r.results; unneeded.err == nil && r.call.Discard != nil {
-			r.call.Discard(unneeded.value)
-		}
+		r.discard(<-r.results)
+	}
+}
+
+// discard discards the result of a run that is not needed.
+func (r *runs[T]) discard(unneeded result[T]) {
+	if unneeded.err == nil && r.call.Discard != nil {
+		r.call.Discard(unneeded.value)
 	}
 }
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -88,6 +89,31 @@
 	})
 }
 
+// TestCancelledRunSucceeds checks that the result of a run which is cancelled just as it succeeds is not used: what it
+// has opened ends with its context.
+func TestCancelledRunSucceeds(t *testing.T) {
+	for range 100 { // which comes first, the run's end or its cancellation, is chance
+		synctest.Test(t, func(t *testing.T) {
+			call, _ := newCall(func(int) time.Duration { return 4 * overdue }, nil)
+			run, cancelled := call.Run, sync.Map{}
+			call.Run = func(ctx context.Context) (int, error) {
+				number, err := run(ctx)
+				if errors.Is(err, context.Canceled) {
+					number, err = 100+int(time.Now().Unix()%100), nil // it has succeeded as well
+				}
+				if ctx.Err() != nil {
+					cancelled.Store(number, true)
+				}
+				return number, err
+			}
+			number, err := call.Do(t.Context())
+			if _, ended := cancelled.Load(number); ended || err != nil || number >= 100 {
+				t.Errorf("result of run %d, %v", number, err)
+			}
+		})
+	}
+}
+
 // TestUnneededResult checks that the result of a run that succeeds at the same time as another is discarded.
 func TestUnneededResult(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
