Test: the viewer's leave is handled before the server answers; the other order too

Cause: the test queued the leave and let the server answer at once.

Change: the test waits until the module got the leave. TestViewerLeftAsAnswerIsQueued checks the other order, with the orchestrator blocked until both are queued: one answer, then the session ends and is released.

--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -160,6 +160,16 @@
 	return strings.Join(h.eventLog, "; ")
 }
 
+// waitLogged waits until the module got the given events and no others.
+func (h *harness) waitLogged(t *testing.T, want string) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); h.loggedEvents() != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("events %q after 5 s, want %q", h.loggedEvents(), want)
+		}
+	}
+}
+
 // startHarness runs an orchestrator whose module is decide. The orchestrator is stopped when the test ends.
 func startHarness(t *testing.T, maxAttempts int, setUp func(context.Context, Attempt) Result,
 	decide deciderFunc) *harness {
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -111,6 +111,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	h.ViewerLeft("x", l)
+	h.waitLogged(t, "left") // the server's answer is queued after the leave was handled
 	close(release)
 	l.waitClosed()
 	if len(l.answers) != 0 || h.loggedEvents() != "left; ended a#0 cancelled final=true" {
@@ -121,6 +122,36 @@
 	}
 }
 
+// TestViewerLeftAsAnswerIsQueued checks the other order: the server's answer is handled first, and the leave that was
+// queued before it then ends the session, which is released.
+func TestViewerLeftAsAnswerIsQueued(t *testing.T) {
+	release, unblock := make(chan struct{}), make(chan struct{})
+	h := startHarness(t, 5, func(context.Context, Attempt) Result { <-release; return Result{Outcome: control.Served} },
+		sendToA(nil))
+	l := h.submit(t, "x", time.Second)
+	for h.Stats.Attempts.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	h.Inspect(func() { <-unblock })
+	for len(h.eventQueue) > 0 { // until the orchestrator is blocked
+		time.Sleep(time.Millisecond)
+	}
+	h.ViewerLeft("x", l)
+	close(release)
+	for len(h.eventQueue) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	close(unblock)
+	l.waitClosed()
+	if got := h.loggedEvents(); len(l.answers) != 1 || l.answers[0].Kind != Playing ||
+		got != "started a; ended a#0 cancelled final=true" {
+		t.Errorf("answers %v; events: %s", l.answers, got)
+	}
+	if len(h.executor.released) != 1 {
+		t.Errorf("released %v", h.executor.released)
+	}
+}
+
 // TestCancelAttempt checks that a Cancel ends only the attempt that it names.
 func TestCancelAttempt(t *testing.T) {
 	h := startHarness(t, 5, setUpHangs, func(_ time.Duration, e control.Event) []control.Action {
