Second reading: open calls, retry delays and one name stand once

Need: the whole change read again. The rule which poll or run makes room for a new one stood in internal/coordinator and in internal/hedge; the retry delay that doubles and is half random stood three times; hasSessionSince asked for sessions before a time; two checks were weaker than they looked.

Change: hedge.OpenCalls holds the open calls of both (TestOpenCalls); timelimit.Backoff is the delay of coordinator, edge and registry (TestBackoff). A query's limit never starts above its highest, for waits of minutes. The restart of a server is logged at debug with its age, which had no reader but a test. LostByRestart never counts sessions set up after the report, by its own bound. TestProcessWatch's case of a note on an older session could pass by the coincidence of two times; TestCancelledRunSucceeds is simpler.

--- a/internal/coordinator/follower.go
+++ b/internal/coordinator/follower.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"rainpulley/internal/hedge"
 	"rainpulley/internal/http1"
 	"rainpulley/internal/timelimit"
 )
@@ -19,9 +19,7 @@
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = time.Second
 
-	// maxOpenPolls bounds the polls that await a response. The oldest is kept the longest, for a slow coordinator; the
-	// others are replaced by new ones, for a coordinator that has forgotten the polls it received.
-	maxOpenPolls = 4
+	maxOpenPolls = 4 // that await a response
 	// initialPollLimit and maxPollLimit bound the time for which the oldest poll is kept.
 	initialPollLimit = 10 * time.Second
 	maxPollLimit     = 2 * time.Minute
@@ -88,8 +86,10 @@
 		addressCtx, cancel := context.WithCancel(ctx)
 		f.mu.Lock()
 		f.cancelPolls = cancel
-		session := &pollSession{follower: f, addr: f.addr, switches: f.switches, retryDelay: minRetryDelay,
-			results: make(chan pollResult), limit: timelimit.NewAdaptive(initialPollLimit, maxPollLimit)}
+		session := &pollSession{follower: f, addr: f.addr, switches: f.switches, results: make(chan pollResult),
+			limit: timelimit.NewAdaptive(initialPollLimit, maxPollLimit),
+			retry: timelimit.NewBackoff(minRetryDelay, maxRetryDelay)}
+		session.open = hedge.OpenCalls{Most: maxOpenPolls, Limit: session.limit}
 		f.mu.Unlock()
 		session.run(addressCtx)
 		cancel()
@@ -164,6 +164,3 @@
 	f.lastIndex = u.Index
 	return nil
 }
-
-// jittered returns a random delay around d, so that front nodes do not return to a restarted coordinator together.
-func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- a/internal/coordinator/poll.go
+++ b/internal/coordinator/poll.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"rainpulley/internal/hedge"
 	"rainpulley/internal/timelimit"
 )
 
@@ -18,23 +18,22 @@
 	addr       string
 	switches   int // of the address, when the session began
 	results    chan pollResult
-	open       []*poll // await their responses, the oldest first
-	goroutines sync.WaitGroup
-	nextPoll   *time.Timer // when the next poll is sent
-	retryDelay time.Duration
+	open       hedge.OpenCalls
 	limit      *timelimit.Adaptive // for the oldest poll
+	retry      *timelimit.Backoff
+	nextPoll   *time.Timer // when the next poll is sent
+	goroutines sync.WaitGroup
 }
 
 // poll is one request to the coordinator.
 type poll struct {
-	startedAt time.Time
+	call      *hedge.OpenCall
 	fromStart bool // all events were requested, after a gap
-	cancel    context.CancelFunc
 }
 
 // pollResult is the response to a poll, or the error that prevented it.
 type pollResult struct {
-	poll    *poll
+	poll    poll
 	updates Updates
 	err     error
 }
@@ -49,7 +48,9 @@
 		case <-ctx.Done():
 			return
 		case <-s.nextPoll.C:
-			s.makeRoom()
+			if limit := s.limit.Current(); s.open.MakeRoom() {
+				s.follower.Log.Warn("coordinator has not answered a poll", "address", s.addr, "after", limit)
+			}
 			s.start(ctx)
 		case r := <-s.results:
 			s.handle(r)
@@ -57,30 +58,11 @@
 	}
 }
 
-// makeRoom cancels a poll if the oldest has exceeded its limit or the polls are too many.
-func (s *pollSession) makeRoom() {
-	switch {
-	case len(s.open) > 0 && time.Since(s.open[0].startedAt) >= s.limit.Current():
-		s.follower.Log.Warn("coordinator has not answered a poll", "address", s.addr, "after", s.limit.Current())
-		s.limit.RecordExceeded()
-		s.cancel(0)
-	case len(s.open) >= maxOpenPolls:
-		s.cancel(1)
-	}
-}
-
-// cancel cancels one of the open polls, whose result is then ignored.
-func (s *pollSession) cancel(i int) {
-	s.open[i].cancel()
-	s.open = slices.Delete(s.open, i, i+1)
-}
-
 // start sends a poll. The next one follows when this one is overdue, unless its response comes first.
 func (s *pollSession) start(ctx context.Context) {
 	pollCtx, cancel := context.WithCancel(ctx)
 	from, fromStart := s.follower.nextRequest()
-	p := &poll{startedAt: time.Now(), fromStart: fromStart, cancel: cancel}
-	s.open = append(s.open, p)
+	p := poll{call: s.open.Add(cancel), fromStart: fromStart}
 	s.nextPoll.Reset(pollWait + pollGrace)
 	s.goroutines.Go(func() {
 		updates, err := s.follower.request(pollCtx, s.addr, from)
@@ -111,12 +93,10 @@
 // handle applies the result of a poll and schedules the next one, unless a newer poll is open. A response makes the
 // older polls superfluous.
 func (s *pollSession) handle(r pollResult) {
-	i := slices.Index(s.open, r.poll)
-	if i < 0 {
-		return // cancelled
+	took, newerOpen, open := s.open.Remove(r.poll.call)
+	if !open {
+		return
 	}
-	s.open = slices.Delete(s.open, i, i+1)
-	took := time.Since(r.poll.startedAt)
 	progress := false
 	if r.err == nil {
 		progress, r.err = s.follower.applyResponse(r.updates, r.poll.fromStart, s.switches)
@@ -124,22 +104,18 @@
 	if r.err != nil {
 		s.follower.Log.Debug("polling the coordinator failed", "took", took, "error", r.err)
 	} else {
-		for ; i > 0; i-- {
-			s.cancel(0)
-		}
+		s.open.CancelOlder(r.poll.call)
 		s.limit.RecordAnswer(took)
 		if took >= pollWait+pollGrace {
-			s.follower.Log.Debug("coordinator answered late", "took", took, "polls open", len(s.open))
+			s.follower.Log.Debug("coordinator answered late", "took", took, "polls open", s.open.Len())
 		}
 	}
-	if i < len(s.open) {
-		return // a newer poll is open
-	}
-	if r.err == nil && (progress || took >= pollWait/2) {
-		s.retryDelay = minRetryDelay
+	switch {
+	case newerOpen:
+	case r.err == nil && (progress || took >= pollWait/2):
+		s.retry.Reset()
 		s.nextPoll.Reset(0)
-		return
+	default:
+		s.nextPoll.Reset(s.retry.Next())
 	}
-	s.nextPoll.Reset(jittered(s.retryDelay))
-	s.retryDelay = min(2*s.retryDelay, maxRetryDelay)
 }
--- a/internal/edge/plannerstream.go
+++ b/internal/edge/plannerstream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -33,15 +32,14 @@
 }
 
 // run reads streams until ctx ends. Opening one has no time limit of its own: a planner that is slower than any fixed
-// limit would never be heard. Retries back off exponentially with jitter, so that edges do not reconnect to a
-// restarted planner at the same time.
+// limit would never be heard.
 func (s *plannerStream) run(ctx context.Context) {
 	open := hedge.Call[*http1.LineStream]{Overdue: plannerOverdue, Discard: (*http1.LineStream).Close,
 		Limit: timelimit.NewAdaptive(initialOpenLimit, maxOpenLimit),
 		Run: func(ctx context.Context) (*http1.LineStream, error) {
 			return s.client.OpenLines(ctx, s.addr, s.target, 0)
 		}}
-	wait := minRetryDelay
+	retry := timelimit.NewBackoff(minRetryDelay, maxRetryDelay)
 	for ctx.Err() == nil {
 		stream, err := open.Do(ctx)
 		if err == nil {
@@ -49,7 +47,8 @@
 			err = stream.Read(ctx, plannerIdleTimeout, func(line []byte) error {
 				err := s.handleLine(line, first)
 				if err == nil {
-					first, wait = false, minRetryDelay
+					first = false
+					retry.Reset()
 				}
 				return err
 			})
@@ -60,9 +59,8 @@
 		s.onEnd(err)
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait/2 + rand.N(wait)):
+		case <-time.After(retry.Next()):
 		}
-		wait = min(2*wait, maxRetryDelay)
 	}
 }
 
--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -5,14 +5,12 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"rainpulley/internal/timelimit"
 )
 
-// maxOpenRuns bounds the runs of one call that are open at the same time. The oldest is kept the longest, for a slow
-// peer; the others are replaced by new ones, for a peer that has forgotten the oldest.
+// maxOpenRuns bounds the runs of one call that are open at the same time.
 const maxOpenRuns = 3
 
 // Call is a call that may be run several times. It must return soon once its context ends.
@@ -25,31 +23,23 @@
 
 // result is the result of one run.
 type result[T any] struct {
-	run   int
+	run   *OpenCall
 	value T
 	err   error
 }
 
-// run is a run without a result.
-type run struct {
-	number    int
-	startedAt time.Time
-	cancel    context.CancelFunc
-}
-
-// runs holds the open runs of a call, the oldest first. Its methods run on the goroutine of Do.
+// runs holds the runs of a call. Its methods run on the goroutine of Do.
 type runs[T any] struct {
 	call    Call[T]
-	open    []run
+	open    OpenCalls
 	results chan result[T]
-	started int
 	pending int // runs without a result, also cancelled ones
 }
 
 // Do runs the call until a run succeeds and returns its result. It returns an error once no run is open. All runs have
 // ended when it returns.
 func (c Call[T]) Do(ctx context.Context) (value T, err error) {
-	r := &runs[T]{call: c, results: make(chan result[T])}
+	r := &runs[T]{call: c, open: OpenCalls{Most: maxOpenRuns, Limit: c.Limit}, results: make(chan result[T])}
 	defer r.cancelAll()
 	overdue := time.NewTicker(c.Overdue)
 	defer overdue.Stop()
@@ -57,18 +47,18 @@
 	for {
 		select {
 		case <-overdue.C:
-			r.makeRoom()
+			r.open.MakeRoom()
 			r.start(ctx)
 		case next := <-r.results:
 			r.pending--
-			startedAt, open := r.remove(next.run)
+			took, _, open := r.open.Remove(next.run)
 			switch {
 			case !open: // cancelled, perhaps just as it succeeded
 				r.discard(next)
 			case next.err == nil:
-				c.Limit.RecordAnswer(time.Since(startedAt))
+				c.Limit.RecordAnswer(took)
 				return next.value, nil
-			case len(r.open) == 0:
+			case r.open.Len() == 0:
 				return value, next.err
 			}
 		}
@@ -78,50 +68,18 @@
 // start starts a run.
 func (r *runs[T]) start(ctx context.Context) {
 	runCtx, cancel := context.WithCancel(ctx)
-	r.started++
+	started := r.open.Add(cancel)
 	r.pending++
-	number := r.started
-	r.open = append(r.open, run{number: number, startedAt: time.Now(), cancel: cancel})
 	go func() {
 		defer cancel()
 		value, err := r.call.Run(runCtx)
-		r.results <- result[T]{run: number, value: value, err: err}
+		r.results <- result[T]{run: started, value: value, err: err}
 	}()
 }
 
-// makeRoom cancels the oldest run if it has exceeded its limit, and otherwise the second-oldest if the runs are too many.
-func (r *runs[T]) makeRoom() {
-	switch {
-	case len(r.open) > 0 && time.Since(r.open[0].startedAt) >= r.call.Limit.Current():
-		r.call.Limit.RecordExceeded()
-		r.cancel(0)
-	case len(r.open) >= maxOpenRuns:
-		r.cancel(1)
-	}
-}
-
-// cancel cancels one of the open runs, whose result is then not needed.
-func (r *runs[T]) cancel(i int) {
-	r.open[i].cancel()
-	r.open = slices.Delete(r.open, i, i+1)
-}
-
-// remove removes a run that has a result, and reports whether it was still open.
-func (r *runs[T]) remove(number int) (startedAt time.Time, open bool) {
-	i := slices.IndexFunc(r.open, func(o run) bool { return o.number == number })
-	if i < 0 {
-		return time.Now(), false
-	}
-	startedAt = r.open[i].startedAt
-	r.open = slices.Delete(r.open, i, i+1)
-	return startedAt, true
-}
-
 // cancelAll cancels the open runs, waits until all have ended and discards their results.
 func (r *runs[T]) cancelAll() {
-	for _, o := range r.open {
-		o.cancel()
-	}
+	r.open.CancelAll()
 	for ; r.pending > 0; r.pending-- {
 		r.discard(<-r.results)
 	}
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -95,19 +95,16 @@
 	for range 100 { // which comes first, the run's end or its cancellation, is chance
 		synctest.Test(t, func(t *testing.T) {
 			call, _ := newCall(func(int) time.Duration { return 4 * overdue }, nil)
-			run, cancelled := call.Run, sync.Map{}
+			const cancelled = -1
+			run := call.Run
 			call.Run = func(ctx context.Context) (int, error) {
 				number, err := run(ctx)
-				if errors.Is(err, context.Canceled) {
-					number, err = 100+int(time.Now().Unix()%100), nil // it has succeeded as well
-				}
 				if ctx.Err() != nil {
-					cancelled.Store(number, true)
+					return cancelled, nil // it has succeeded as well
 				}
 				return number, err
 			}
-			number, err := call.Do(t.Context())
-			if _, ended := cancelled.Load(number); ended || err != nil || number >= 100 {
+			if number, err := call.Do(t.Context()); number == cancelled || err != nil {
 				t.Errorf("result of run %d, %v", number, err)
 			}
 		})
@@ -127,3 +124,44 @@
 		}
 	})
 }
+
+// TestOpenCalls checks which calls are cancelled for new ones, and that a success cancels the older ones alone.
+func TestOpenCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var cancelled []int
+		open := OpenCalls{Most: 3, Limit: timelimit.NewAdaptive(25*time.Second, time.Minute)}
+		var calls []*OpenCall
+		add := func() {
+			number := len(calls)
+			calls = append(calls, open.Add(func() { cancelled = append(cancelled, number) }))
+			time.Sleep(overdue)
+		}
+		wantCancelled := func(want ...int) {
+			t.Helper()
+			if !slices.Equal(cancelled, want) {
+				t.Errorf("cancelled %v, want %v", cancelled, want)
+			}
+		}
+		for range 5 { // the second-oldest makes room, from the fourth on
+			open.MakeRoom()
+			add()
+		}
+		wantCancelled(1, 2)
+		if !open.MakeRoom() { // 25 s after the first call
+			t.Error("the oldest has not exceeded its limit")
+		}
+		wantCancelled(1, 2, 0)
+		add()
+		if _, _, ok := open.Remove(calls[1]); ok {
+			t.Error("a cancelled call is open")
+		}
+		if took, newerOpen, ok := open.Remove(calls[4]); !ok || !newerOpen || took != 2*overdue {
+			t.Errorf("call 4: open %v, newer open %v, took %v", ok, newerOpen, took)
+		}
+		open.CancelOlder(calls[4])
+		wantCancelled(1, 2, 0, 3)
+		if _, newerOpen, ok := open.Remove(calls[5]); !ok || newerOpen || open.Len() != 0 {
+			t.Errorf("call 5: open %v, newer open %v, %d left", ok, newerOpen, open.Len())
+		}
+	})
+}
--- a/internal/liveness/process.go
+++ b/internal/liveness/process.go
@@ -111,7 +111,7 @@
 	if w.restartedAt == 0 {
 		return 0
 	}
-	before = min(now-maxUnreportedEnd, w.runningSince)
+	before = min(now-maxUnreportedEnd, w.runningSince, w.restartedAt)
 	if now-maxUnreportedEnd >= w.restartedAt {
 		w.restartedAt = 0
 	}
--- a/internal/liveness/process_test.go
+++ b/internal/liveness/process_test.go
@@ -52,7 +52,7 @@
 			w.RecordConnEnd(second, 10*second)
 			w.RecordSessionMessage(11 * second)
 			w.RecordSessionMessage(second)
-		}, now: 17 * second, period: period, restartBefore: 10 * second},
+		}, now: 18 * second, period: period, restartBefore: 11 * second},
 		"message from the next process, whose connection was handled first": {events: func(w *ProcessWatch) {
 			w.RecordConnEnd(second, 10*second)
 			w.RecordMessage(10*second - time.Millisecond)
--- a/internal/node/serverlist.go
+++ b/internal/node/serverlist.go
@@ -49,6 +49,7 @@
 	}
 	if r.startedMs != 0 && r.startedMs != s.reportedStartMs {
 		if s.listed {
+			p.node.Log.Debug("server list reports a restart", "server", s.id, "age", now-s.started)
 			before := s.process.RecordRestart(now)
 			p.closeServerConns(s, before)
 			p.loseSessionsBefore(s, before, "server restarted")
--- a/internal/node/sessionloss.go
+++ b/internal/node/sessionloss.go
@@ -51,7 +51,7 @@
 // delayed or missing everywhere. A session may run after all, so the server is told to end it, and no connection is
 // closed: another set-up may wait for its answer there.
 func (p *pool) loseSuspectedSessions(s *server, now time.Duration) {
-	if before := s.process.LostByRestart(now); before > 0 && s.hasSessionSince(before) {
+	if before := s.process.LostByRestart(now); before > 0 && s.hasSessionBefore(before) {
 		p.releaseAll(s, p.loseSessionsBefore(s, before, "server restarted"), now)
 	}
 	period := p.node.Config.Set.LinkNoteInterval
@@ -88,7 +88,7 @@
 func (p *pool) notesMissingElsewhere(suspect *server, now, within time.Duration) bool {
 	missing := suspect.lastNoteAt == 0
 	for _, s := range p.servers {
-		if s == suspect || !s.hasSessionSince(now-within) {
+		if s == suspect || !s.hasSessionBefore(now-within) {
 			continue
 		}
 		if now-s.lastNoteAt <= within {
@@ -99,10 +99,10 @@
 	return missing
 }
 
-// hasSessionSince reports whether a session is active whose connection was opened before a time.
-func (s *server) hasSessionSince(opened time.Duration) bool {
+// hasSessionBefore reports whether a session is active whose connection was opened before a time.
+func (s *server) hasSessionBefore(before time.Duration) bool {
 	for _, active := range s.activeSessions {
-		if active.openedAt < opened {
+		if active.openedAt < before {
 			return true
 		}
 	}
--- a/internal/registry/consul.go
+++ b/internal/registry/consul.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -29,7 +28,7 @@
 	maxRetryDelay    = 15 * time.Second
 	minQueryInterval = 100 * time.Millisecond // limits the query rate while the catalogue changes all the time
 	overdueMargin    = 5 * time.Second        // a query is overdue this long after the longest wait
-	maxQueryLimit    = 10 * time.Minute       // an unanswered query is kept this long at most, beyond the wait
+	maxQueryLimit    = 10 * time.Minute       // an unanswered query is kept this long at most, beyond twice that time
 	maxEntries       = 20000
 )
 
@@ -135,11 +134,11 @@
 // catalogue that is slower would never be heard.
 func (c *Consul) runBlockingQuery(ctx context.Context, subject string, onError func(error),
 	query func(*api.QueryOptions) (*api.QueryMeta, func(), error)) {
-	index, retryDelay := uint64(0), minRetryDelay
+	index, retry := uint64(0), timelimit.NewBackoff(minRetryDelay, maxRetryDelay)
 	longestWait := c.Config.Wait.Std() * 17 / 16 // the server lengthens the wait by up to a sixteenth
 	overdue := longestWait + overdueMargin
 	hedged := hedge.Call[queryAnswer]{Overdue: overdue,
-		Limit: timelimit.NewAdaptive(2*overdue, longestWait+maxQueryLimit),
+		Limit: timelimit.NewAdaptive(2*overdue, 2*overdue+maxQueryLimit),
 		Run: func(ctx context.Context) (queryAnswer, error) {
 			meta, apply, err := query(c.queryOptions(ctx, index))
 			return queryAnswer{meta, apply}, err
@@ -156,11 +155,10 @@
 		}
 		if err != nil {
 			onError(fmt.Errorf("registry: consul: %s: %w", subject, err))
-			delay = retryDelay/2 + rand.N(retryDelay)
-			retryDelay = min(2*retryDelay, maxRetryDelay)
+			delay = retry.Next()
 			index = 0 // the next query is answered at once, with the whole list
 		} else {
-			retryDelay = minRetryDelay
+			retry.Reset()
 			if meta.LastIndex < index {
 				index = 0
 			} else {
--- a/internal/timelimit/timelimit.go
+++ b/internal/timelimit/timelimit.go
@@ -1,5 +1,6 @@
-// Package timelimit provides time limits that adapt to a slow peer. With a fixed limit below the peer's response time,
-// every call fails although the peer answers each of them. The package has no clock and does no I/O.
+// Package timelimit provides time limits and retry delays for repeated calls to a peer. The limits adapt to a slow peer:
+// with a fixed limit below the peer's response time, every call fails although the peer answers each of them. The package
+// has no clock and does no I/O.
 package timelimit
 
 import "time"
--- a/internal/timelimit/timelimit_test.go
+++ b/internal/timelimit/timelimit_test.go
@@ -31,3 +31,21 @@
 		}
 	}
 }
+
+// TestBackoff checks the range of each delay after failures in a row, and after a success.
+func TestBackoff(t *testing.T) {
+	const initial, highest = 100 * time.Millisecond, time.Second
+	for range 200 {
+		backoff := NewBackoff(initial, highest)
+		check := func(want time.Duration) {
+			if got := backoff.Next(); got < want/2 || got >= want+want/2 {
+				t.Errorf("delay %v, want %v to %v", got, want/2, want+want/2)
+			}
+		}
+		for _, want := range []time.Duration{initial, 2 * initial, 4 * initial, 8 * initial, highest, highest} {
+			check(want)
+		}
+		backoff.Reset()
+		check(initial)
+	}
+}
