Front node: no provisional response follows the final answer

Seen: go test ./... in a fresh clone failed once: TestViewerLeavesWhileDialing, half close: after the 200 a response with status 100.

Cause: a viewer that has closed its write side is probed with a 100 for each open set-up, and a set-up stays open until its answer is queued (session.Answered removes it after that). A probe in between follows the answer.

Change: the probe is queued under the lock that decides the answer, and not at all once it is decided.

Measured: TestNoProvisionalResponseAfterAnswer fails without the check (a 100 for an answered set-up) and passes; it and the tests of half closes, leaves and shutdown three times under -race, green.

--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -39,8 +39,9 @@
 	playing             bool          // the answer was 200 and the session has not ended
 }
 
-// Statuses of final answers (RFC 2326, section 7.1.1), with their meaning on this platform.
+// Statuses of answers (RFC 2326, section 7.1.1), with their meaning on this platform.
 const (
+	statusContinue           = 100 // provisional
 	statusOK                 = 200
 	statusBadRequest         = 400
 	statusNotEnoughBandwidth = 453 // refused; safe to retry
@@ -196,11 +197,25 @@
 	return s.mayBeginAttemptLocked()
 }
 
+// sendProvisional queues a provisional response, unless the final answer was decided: none may follow that one.
+func (s *session) sendProvisional(out *writeQueue) {
+	s.mu.Lock()
+	defer s.mu.Unlock() // held until the response is queued: an answer that is decided now is queued after it
+	if !s.answered {
+		out.enqueue(s.appendResponse(finalAnswer{status: statusContinue}))
+	}
+}
+
 // appendAnswer returns a function that appends the RTSP response to the set-up.
 func (s *session) appendAnswer(r finalAnswer) func([]byte) []byte {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appendResponse(r)
+}
+
+// appendResponse is appendAnswer for a caller that holds s.mu.
+func (s *session) appendResponse(r finalAnswer) func([]byte) []byte {
 	cseq := s.cseq
-	s.mu.Unlock()
 	return func(b []byte) []byte {
 		return rtsp.AppendResponse(b, r.status, []string{"CSeq", cseq, "Session", s.id, "X-Pause", r.retryAfter}, r.body)
 	}
--- a/internal/node/viewerclose.go
+++ b/internal/node/viewerclose.go
@@ -164,14 +164,7 @@
 func (c *viewerConn) awaitDrained() {
 	interval := firstProbeInterval
 	for ; ; interval = min(interval*probeBackoffFactor, maxProbeInterval) {
-		c.mu.Lock()
-		probe := c.halfClosedByViewer && !isClosed(c.drained)
-		for _, s := range c.openSetUps {
-			if probe {
-				c.out.enqueue(s.appendAnswer(finalAnswer{status: 100}))
-			}
-		}
-		c.mu.Unlock()
+		c.probeHalfClosed()
 		select {
 		case <-c.drained:
 			pollUntil(maxFlushTime, func() bool { return !c.out.isWriting() })
@@ -183,6 +176,19 @@
 	}
 }
 
+// probeHalfClosed sends a half-closed viewer a provisional response for each set-up whose answer is not decided. A set-up
+// stays open until its answer is queued, so the final answer may be on its way.
+func (c *viewerConn) probeHalfClosed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.halfClosedByViewer || isClosed(c.drained) {
+		return
+	}
+	for _, s := range c.openSetUps {
+		s.sendProvisional(&c.out)
+	}
+}
+
 // handleWriteError closes a connection after a write error. A viewer that had closed its write side has gone.
 func (c *viewerConn) handleWriteError() {
 	c.mu.Lock()
--- a/internal/node/withdrawal_test.go
+++ b/internal/node/withdrawal_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 )
 
 // wantNoSetUp checks that a server has received no set-up with an id so far: the next one that it receives must be a
@@ -143,3 +144,38 @@
 	default:
 	}
 }
+
+// TestNoProvisionalResponseAfterAnswer guards against a provisional response that follows the final answer: a viewer that
+// has closed its write side was probed as long as its set-up was open, which it is until the answer is queued.
+func TestNoProvisionalResponseAfterAnswer(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startNode(t, b)
+	v := n.dial().send(setUpRequest(idA, "paid", ""))
+	m := b.next(t, "open")
+	s := n.findSession(idA)
+	c := s.currentConn()
+	probe := func(answered bool) {
+		s.mu.Lock()
+		s.answered = answered
+		s.mu.Unlock()
+		c.mu.Lock()
+		c.halfClosedByViewer = true
+		c.mu.Unlock()
+		c.probeHalfClosed()
+		s.mu.Lock()
+		s.answered = false
+		s.mu.Unlock()
+		c.mu.Lock()
+		c.halfClosedByViewer = false
+		c.mu.Unlock()
+	}
+	probe(true)
+	v.wantNoMessage()
+	probe(false)
+	_ = v.SetReadDeadline(time.Now().Add(testTimeout))
+	if m, err := v.reader.Next(); err != nil || m.Status != statusContinue {
+		t.Errorf("probe of an unanswered set-up: %+v, %v", m, err)
+	}
+	answerReady(m)
+	v.wantAnswer(idA, 200)
+}
