Front node: log why messages are refused, reads and writes fail, and who holds an open id

'message refused' says the reason, the peer's port, the age of the connection and what is open on it; a refused set-up says from where and on which connection the id is open, both classes, and whether an attempt was sent; failed reads and writes and connections closed by them are logged with what stood on them; counter messages_refused. No behaviour changes.

--- a/internal/node/nearmiss.go
+++ b/internal/node/nearmiss.go
@@ -6,7 +6,7 @@
 )
 
 // nearMissCounters counts events in which a request or a release was, or nearly was, lost or late. All counters stay
-// zero while no resource is short.
+// zero while no resource is short and all viewers keep to the protocol.
 type nearMissCounters struct {
 	answersUnsent    atomic.Int64 // answers whose connection had ended, though the viewer was not known to have left
 	closedUnanswered atomic.Int64 // requests open on connections that this node closed
@@ -14,6 +14,7 @@
 	halfClosed       atomic.Int64 // connections half-closed by their viewers with requests open
 	repeatsElsewhere atomic.Int64 // set-ups with an id that is in use on another connection
 	resumed          atomic.Int64 // set-ups sent again on another connection
+	messagesRefused  atomic.Int64 // messages that could not be parsed or were not completed in time
 	viewersRefused   atomic.Int64 // connections closed right after accept, without reading
 	viewersDelayed   atomic.Int64 // failed evictions: all connections awaited answers
 	lateAnswers      atomic.Int64 // answers in the last tenth of their time limit, or after it
@@ -44,6 +45,7 @@
 		{"half_closed", &m.halfClosed},
 		{"repeats_elsewhere", &m.repeatsElsewhere},
 		{"resumed", &m.resumed},
+		{"messages_refused", &m.messagesRefused},
 		{"viewers_refused", &m.viewersRefused},
 		{"viewers_delayed", &m.viewersDelayed},
 		{"late_answers", &m.lateAnswers},
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -44,6 +44,7 @@
 	statusContinue           = 100 // provisional
 	statusOK                 = 200
 	statusBadRequest         = 400
+	statusRequestTimeout     = 408
 	statusNotEnoughBandwidth = 453 // refused; safe to retry
 	statusSessionNotFound    = 454
 	statusServiceUnavailable = 503 // safe to retry
--- a/internal/node/viewerclose.go
+++ b/internal/node/viewerclose.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"rainpulley/internal/rtsp"
@@ -34,6 +36,9 @@
 	return r != closedByViewer && r != closedByReset && r != closedByNetworkError
 }
 
+// isFailure reports whether a connection with this reason ended by an error rather than by either side's intent.
+func (r closeReason) isFailure() bool { return r == closedByNetworkError || r == closedWriteFailed }
+
 // readErrorReason returns the close reason for a read error.
 func readErrorReason(err error) closeReason {
 	switch socketerror.Classify(err, socketerror.Transfer) {
@@ -90,12 +95,27 @@
 )
 
 // respondError answers a message that cannot be parsed or was not completed in time. Nothing after it is handled.
-func (c *viewerConn) respondError(status int) {
-	c.node.Log.Info("message refused", "status", status, "connection", uint64(c.id), "from", c.remoteHost,
-		"waiting", c.openSetUpCount())
+func (c *viewerConn) respondError(status int, cause error) {
+	c.node.nearMisses.messagesRefused.Add(1)
+	c.logMessageRefused(status, cause)
 	c.out.enqueue(func(b []byte) []byte { return rtsp.AppendResponse(b, status, nil, nil) })
 }
 
+// logMessageRefused logs why a message was refused, and what else is open on its connection.
+func (c *viewerConn) logMessageRefused(status int, cause error) {
+	c.mu.Lock()
+	waitingIDs, sessionCount, hadMessages := c.openSetUpIDs(), c.sessionCount, c.receivedMessage
+	c.mu.Unlock()
+	c.node.Log.Info("message refused", "status", status, "why", cause, "connection", uint64(c.id),
+		"from", c.conn.RemoteAddr().String(), "age", time.Since(c.openedAt), "messages before", hadMessages,
+		"waiting", waitingIDs, "sessions", sessionCount)
+}
+
+// openSetUpIDs returns the session ids of the set-ups that are still to be answered. The caller holds c.mu.
+func (c *viewerConn) openSetUpIDs() []string {
+	return slices.Sorted(maps.Keys(c.openSetUps))
+}
+
 // drain answers the open set-ups before the connection is closed, if the viewer may still be there. Its further input
 // is read and discarded for a limited time: closing with unread bytes would reset the connection and could destroy an
 // answer in transit (RFC 9112, section 9.6).
@@ -134,10 +154,9 @@
 	c.mu.Lock()
 	c.halfClosedByViewer = true
 	until := c.node.now() + halfCloseAttemptWindow
-	waitingIDs := make([]string, 0, len(c.openSetUps))
+	waitingIDs := c.openSetUpIDs()
 	for _, s := range c.openSetUps {
 		s.blockAttemptsFrom(until)
-		waitingIDs = append(waitingIDs, s.id)
 	}
 	c.mu.Unlock()
 	if len(waitingIDs) > 0 {
@@ -190,13 +209,16 @@
 }
 
 // handleWriteError closes a connection after a write error. A viewer that had closed its write side has gone.
-func (c *viewerConn) handleWriteError() {
+func (c *viewerConn) handleWriteError(category socketerror.Category) {
 	c.mu.Lock()
 	reason := closedWriteFailed
 	if c.halfClosedByViewer {
 		reason = closedByViewer
 	}
 	c.mu.Unlock()
+	if reason == closedWriteFailed {
+		c.node.Log.Info("write to viewer failed", "connection", uint64(c.id), "category", category.String())
+	}
 	c.close(reason)
 }
 
@@ -246,7 +268,7 @@
 	case len(unanswered) > 0 && reason.byThisNode():
 		level = slog.LevelWarn
 		c.node.nearMisses.closedUnanswered.Add(int64(len(unanswered)))
-	case len(unanswered) > 0 || reason == closedForCapacity:
+	case len(unanswered) > 0 || reason == closedForCapacity || reason.isFailure():
 		level = slog.LevelInfo
 	}
 	if !reason.byThisNode() {
@@ -259,8 +281,12 @@
 	for _, s := range unanswered {
 		ids = append(ids, s.id)
 	}
+	c.mu.Lock()
+	lastUsed, sessionCount := c.lastUsed, c.sessionCount
+	c.mu.Unlock()
 	c.node.Log.Log(context.Background(), level, "viewer connection closed", "why", string(reason),
-		"connection", uint64(c.id), "from", c.remoteHost, "age", time.Since(c.openedAt), "unanswered", ids)
+		"connection", uint64(c.id), "from", c.conn.RemoteAddr().String(), "age", time.Since(c.openedAt),
+		"last message", time.Since(lastUsed), "unanswered", ids, "sessions", sessionCount)
 }
 
 // refuseConnection closes an accepted connection without serving it.
--- a/internal/node/viewerconn.go
+++ b/internal/node/viewerconn.go
@@ -47,7 +47,7 @@
 	c := &viewerConn{node: n, conn: conn, remoteHost: host, openedAt: now, lastUsed: now,
 		openSetUps: map[string]*session{}, drained: make(chan struct{}), done: make(chan struct{})}
 	c.in.conn = conn
-	c.out.conn, c.out.onError = conn, func(socketerror.Category) { c.handleWriteError() }
+	c.out.conn, c.out.onError = conn, c.handleWriteError
 	return c
 }
 
@@ -73,20 +73,20 @@
 	for {
 		waitStart := time.Now()
 		if err := reader.WaitForMessage(); err != nil {
-			return readErrorReason(err)
+			return c.readErrorReason(err)
 		}
 		c.markMessageStarted()
 		m, err := reader.Next()
 		var rtspErr *rtsp.Error
 		switch {
 		case errors.As(err, &rtspErr):
-			c.respondError(rtspErr.Status)
+			c.respondError(rtspErr.Status, err)
 			return closedMalformedMessage
 		case socketerror.Classify(err, socketerror.Transfer) == socketerror.DeadlineExceeded:
-			c.respondError(408)
+			c.respondError(statusRequestTimeout, err)
 			return closedMessageTimeout
 		case err != nil:
-			return readErrorReason(err)
+			return c.readErrorReason(err)
 		}
 		c.earliestArrival = c.node.clocks.earliestArrival(waitStart, time.Now())
 		c.in.setDeadline(time.Time{})
@@ -100,6 +100,15 @@
 	}
 }
 
+// readErrorReason returns the close reason for a read error, and logs an error that is no ordinary end.
+func (c *viewerConn) readErrorReason(err error) closeReason {
+	reason := readErrorReason(err)
+	if reason == closedByNetworkError {
+		c.node.Log.Info("read from viewer failed", "connection", uint64(c.id), "error", err)
+	}
+	return reason
+}
+
 // markMessageStarted sets the read deadline of a message whose first byte was received. The first message of a
 // connection already has one.
 func (c *viewerConn) markMessageStarted() {
@@ -213,8 +222,10 @@
 		return
 	}
 	c.node.Log.Info("set-up refused", "session", s.id, "status", status, "why", "id is open", "connection", uint64(c.id),
-		"same description", s.description == existing.description,
+		"from", c.conn.RemoteAddr().String(), "open set-ups", c.openSetUpCount(),
+		"same description", s.description == existing.description, "class", s.className, "open class", existing.className,
 		"open since", c.node.now()-existing.receivedAt, "open on", uint64(existingConn.id),
+		"open from", existingConn.conn.RemoteAddr().String(), "attempt sent", existing.wasAttemptSent(),
 		"that connection", existingConn.phase().String(), "viewer left", existing.isWithdrawn(),
 		"answered", existing.isAnswered())
 }
