--- /dev/null
+++ b/internal/node/identity_test.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"rainpulley/internal/jsonlines"
+)
+
+// impostorSetUp returns a set-up under a session id of another viewer, with a description of its own.
+func impostorSetUp(id, class string) string {
+	return strings.Replace(setUpRequest(id, class, ""), "audio", "video", 1)
+}
+
+// isImpostor reports whether a server received the set-up of impostorSetUp.
+func isImpostor(m receivedMessage) bool { return m.Text != nil && strings.Contains(*m.Text, "video") }
+
+// strictAnswer reads the next final answer. A client that shares a connection cannot tell to which request a response
+// without a session id belongs, and cannot use the connection any more.
+func (v *viewerClient) strictAnswer(t *testing.T) (id string, status int) {
+	t.Helper()
+	for {
+		m, err := v.readAnswerUntil(time.Now().Add(testTimeout))
+		if err != nil || m == nil {
+			t.Fatalf("no answer: %v", err)
+		}
+		if id = m.Get("Session"); !isSessionID(id) {
+			t.Fatalf("response cannot be attributed to a request: %+v", m)
+		}
+		return id, m.Status
+	}
+}
+
+// identityCase is one crossing of a viewer's set-up with an impostor's under the same session id.
+type identityCase struct {
+	class         string
+	impostorFirst bool
+	splitAt       int // bytes of the later set-up that arrive before the earlier one
+}
+
+func (c identityCase) String() string {
+	return fmt.Sprintf("%s, impostor first %t, split at %d", c.class, c.impostorFirst, c.splitAt)
+}
+
+// Guards against: a viewer whose set-up is read behind a bad client's under the same id got a response without an id.
+func TestSetUpBehindImpostorIsAnsweredByName(t *testing.T) {
+	t.Parallel()
+	for _, class := range []string{"free", "paid"} {
+		for _, impostorFirst := range []bool{true, false} {
+			for _, splitAt := range []int{0, 40, 200} {
+				c := identityCase{class, impostorFirst, splitAt}
+				t.Run(c.String(), func(t *testing.T) { t.Parallel(); c.run(t) })
+			}
+		}
+	}
+}
+
+// run has a node in a child process read the two set-ups in the given order. Another request is pending on the viewer's
+// connection meanwhile.
+func (c identityCase) run(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	p := startProcess(t, b)
+	p.dial().send(optionsRequest).wantAnswer("", statusOK)
+	viewer, _ := newRelay(t, p.addr).dial(t)
+	impostor := p.dial()
+	viewer.send(setUpRequest(idB, "free", ""))
+	pending := b.next(t, jsonlines.TypeOpen)
+
+	first, firstText, second, secondText := viewer, setUpRequest(idA, c.class, ""), impostor, impostorSetUp(idA, c.class)
+	if c.impostorFirst {
+		first, firstText, second, secondText = second, secondText, first, firstText
+	}
+	second.send(secondText[:c.splitAt])
+	first.send(firstText)
+	opened := b.next(t, jsonlines.TypeOpen)
+	if isImpostor(opened) != c.impostorFirst {
+		t.Fatalf("the server received %q first", *opened.Text)
+	}
+	second.send(secondText[c.splitAt:])
+
+	if id, status := second.strictAnswer(t); id != idA || status != statusBadRequest {
+		t.Errorf("the later set-up was answered %d for %s", status, id)
+	}
+	answerReady(pending)
+	if id, status := viewer.strictAnswer(t); c.impostorFirst && (id != idB || status != statusOK) {
+		t.Errorf("the other request of the viewer's connection was answered %d for %s", status, id)
+	}
+	answerReady(opened)
+	if id, status := first.strictAnswer(t); id != idA && id != idB || status != statusOK {
+		t.Errorf("the earlier set-up was answered %d for %s", status, id)
+	}
+	for _, conn := range []*viewerClient{viewer, impostor} {
+		if extra, _ := conn.readAnswerUntil(time.Now().Add(quietPeriod)); extra != nil {
+			t.Errorf("second answer %+v", extra)
+		}
+	}
+}
