Front node: a set-up refused because its id is open is refused by name

Cause: refuseDuplicate left the session id out of the 400 for every set-up under an open id, on the assumption that the one read second is the impostor's. Two connections have no order: when a bad client's set-up under a viewer's id is read first, it is the viewer's that is refused.

Fix: the refusal carries the id on every connection but the one on which the open request awaits its answer, where it would be taken for that answer. The viewer has one answer that it can read, whichever is read first; the impostor's is refused by name as well. TestDuplicateSessionIDIsRefused demanded the refusal without a name on another connection, which is the fault; it demands the name now, and none on the open request's own connection, in both cases with the open request unharmed.

--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -11,17 +11,19 @@
 )
 
 // TestDuplicateSessionIDIsRefused checks that a set-up under an open session id is refused and that the open request is
-// not affected.
+// not affected. The refusal carries the session id unless it is sent on the open request's own connection.
 func TestDuplicateSessionIDIsRefused(t *testing.T) {
 	b := newBox(t, "s-1", nil)
 	n := startNode(t, b)
 	v := n.dial().send(setUpRequest(idA, "paid", ""))
 	m := b.next(t, "open")
-	n.dial().send(strings.Replace(setUpRequest(idA, "free", ""), "audio", "video", 1)).wantAnswer("", 400)
+	n.dial().send(impostorSetUp(idA, "free")).wantAnswer(idA, 400)
+	v.send(impostorSetUp(idA, "free")).wantAnswer("", 400)
 	answerReady(m)
 	if a := v.wantAnswer(idA, 200); string(a.Body) != "for "+idA+"\r\n\"x\"" {
 		t.Errorf("description %q", a.Body)
 	}
+	v.wantNoMessage()
 	n.wantSessionCount(1)
 }
 
--- a/internal/node/viewerconn.go
+++ b/internal/node/viewerconn.go
@@ -151,7 +151,7 @@
 }
 
 // handleSetUp submits a set-up request. A duplicate of an open session id is refused without affecting the open
-// request; the refusal carries no session id, so that it cannot be taken for the open request's answer.
+// request.
 func (c *viewerConn) handleSetUp(m *rtsp.Message) {
 	r, s, problem := c.node.parseSetUp(m, c.earliestArrival)
 	if s == nil {
@@ -199,12 +199,16 @@
 }
 
 // refuseDuplicate refuses a set-up under an open session id that differs from the open request or came on the same
-// connection. The refusal carries no session id, so that it cannot be taken for the open request's answer, unless the
-// viewer of the open request has left.
+// connection. The open request need not be the viewer's own: two connections have no order, so the impostor's may have
+// been read first. The refusal therefore carries the session id, except on the connection on which the open request
+// awaits its answer: there the viewer would take it for that answer.
 func (c *viewerConn) refuseDuplicate(s, existing *session) {
-	status, id := statusBadRequest, ""
-	if existing.isWithdrawn() {
-		status, id = statusServiceUnavailable, s.id
+	status, id := statusBadRequest, s.id
+	switch {
+	case existing.isWithdrawn():
+		status = statusServiceUnavailable
+	case existing.currentConn() == c:
+		id = ""
 	}
 	c.logDuplicate(s, existing, status)
 	c.out.enqueue(func(b []byte) []byte {
