Front node: a cached answer is kept under the set-up's content, not under its id alone

A bad client's set-up under the id of an answered request replaced that request's cached answer; when the viewer then resent its set-up, since its connection had ended with the answer in transit, the request was begun anew: an at-most-once request may run twice.

Cause: answerCache was keyed by the session id. Fix: by setUpIdentity (id, title, class, description, key), which also tells a resent set-up from another one. TestImpostorKeepsCachedAnswer failed before (the set-up reached the server again) and passes.

--- a/internal/node/identity_test.go
+++ b/internal/node/identity_test.go
@@ -97,3 +97,23 @@
 		}
 	}
 }
+
+// Guards against: a bad client's set-up under the id of an answered request hid that answer, and the request ran again
+// when its viewer resent it.
+func TestImpostorKeepsCachedAnswer(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startModifiedNode(t, waitForResends, b)
+	viewer := n.dial().send(setUpRequest(idA, "paid", ""))
+	opened := b.next(t, jsonlines.TypeOpen)
+	opened.conn.send(`{"msg":"close","sid":%q,"attrs":{},"code":%d}`, idA, jsonlines.CauseError)
+	viewer.wantAnswer(idA, statusGatewayTimeout) // suppose that it is lost with its connection
+	n.wantSessionCount(0)
+	impostor := n.dial().send(impostorSetUp(idA, "paid"))
+	opened = b.next(t, jsonlines.TypeOpen)
+	opened.conn.send(`{"msg":"close","sid":%q,"attrs":{},"code":%d}`, idA, jsonlines.CauseError)
+	impostor.wantAnswer(idA, statusGatewayTimeout)
+	n.wantSessionCount(0)
+	viewer.reset()
+	n.dial().send(setUpRequest(idA, "paid", "")).wantAnswer(idA, statusGatewayTimeout)
+	n.wantNoSetUp(b, idA)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,7 +76,7 @@
 	n := &Node{Config: c, ConfigPath: path, Log: log, ArrivalWindow: defaultArrivalWindow, Dial: dialTCP,
 		yieldProcessor: runtime.Gosched, startedAt: time.Now(), sessions: map[string]*session{},
 		resendWindow:  defaultResendWindow,
-		recentAnswers: answerCache{retention: defaultAnswerRetention, byID: map[string]*session{}}}
+		recentAnswers: answerCache{retention: defaultAnswerRetention, byIdentity: map[setUpIdentity]*session{}}}
 	n.startUnixTime = time.Duration(n.startedAt.UnixNano())
 	set := c.Set
 	set.AllowPeerMessages = false // the addresses of other front nodes are not available
--- a/internal/node/resend.go
+++ b/internal/node/resend.go
@@ -100,16 +100,20 @@
 	return r
 }
 
-// isSameRequest reports whether another set-up with the same session id has the same content.
-func (s *session) isSameRequest(other *session) bool {
-	return s.uri == other.uri && s.className == other.className && s.description == other.description &&
-		s.dedupeKey == other.dedupeKey
+// setUpIdentity identifies a set-up request. The session id alone does not: another client may use it as well.
+type setUpIdentity struct {
+	id, uri, className, description, dedupeKey string
+}
+
+// identity returns what identifies the set-up, on whatever connection it is received.
+func (s *session) identity() setUpIdentity {
+	return setUpIdentity{s.id, s.uri, s.className, s.description, s.dedupeKey}
 }
 
 // handleResent handles a set-up whose session id belongs to the request s. It returns false if it is not that request
 // resent on another connection.
 func (c *viewerConn) handleResent(resent, s *session) bool {
-	if s.adopted || s.currentConn() == c || !s.isSameRequest(resent) {
+	if s.adopted || s.currentConn() == c || s.identity() != resent.identity() {
 		return false
 	}
 	if lastConn := s.currentConn(); lastConn.id > c.id && lastConn.phase() == phaseOpen {
@@ -176,14 +180,14 @@
 
 // answerCache holds the recently answered requests, oldest first.
 type answerCache struct {
-	retention time.Duration
-	byID      map[string]*session
-	order     []cachedAnswer
+	retention  time.Duration
+	byIdentity map[setUpIdentity]*session
+	order      []cachedAnswer
 }
 
 // add adds a request and removes those that are too old or too many.
 func (a *answerCache) add(s *session, now time.Duration) {
-	a.byID[s.id] = s
+	a.byIdentity[s.identity()] = s
 	a.order = append(a.order, cachedAnswer{s, now})
 	a.expire(now)
 }
@@ -194,17 +198,17 @@
 		s := a.order[0].session
 		a.order[0] = cachedAnswer{}
 		a.order = a.order[1:]
-		if a.byID[s.id] == s {
-			delete(a.byID, s.id)
+		if a.byIdentity[s.identity()] == s {
+			delete(a.byIdentity, s.identity())
 		}
 		s.dropAnswer()
 	}
 }
 
-// find returns the recently answered request with a session id, or nil.
-func (a *answerCache) find(id string, now time.Duration) *session {
+// find returns the recently answered request with an identity, or nil.
+func (a *answerCache) find(identity setUpIdentity, now time.Duration) *session {
 	a.expire(now)
-	return a.byID[id]
+	return a.byIdentity[identity]
 }
 
 // cacheAnswer caches the answer to a request.
@@ -214,18 +218,17 @@
 	n.recentAnswers.add(s, n.now())
 }
 
-// recentlyAnswered returns the recently answered request with a session id, or nil.
-func (n *Node) recentlyAnswered(id string) *session {
+// recentlyAnswered returns the recently answered request with an identity, or nil.
+func (n *Node) recentlyAnswered(identity setUpIdentity) *session {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.recentAnswers.find(id, n.now())
+	return n.recentAnswers.find(identity, n.now())
 }
 
-// handleResentAnswered handles a set-up whose session id belongs to a recently answered request. It returns false if it
-// is not that request resent. A request of which no attempt was sent to a server may start anew, unless its viewer
+// handleResentAnswered handles a set-up that was recently answered. It returns false if it was not resent. A request of which no attempt was sent to a server may start anew, unless its viewer
 // resent it on a newer connection than this one.
 func (c *viewerConn) handleResentAnswered(s *session) bool {
-	answered := c.node.recentlyAnswered(s.id)
+	answered := c.node.recentlyAnswered(s.identity())
 	return answered != nil && (answered.wasAttemptSent() || answered.currentConn().id > c.id) &&
 		c.handleResent(s, answered)
 }
