Front node: a sent set-up that another connection tears down is answered as failed, not refused

A TEARDOWN of a waiting set-up that comes on another connection, a bad client's for example, was answered 503 to the viewer that waits: refused, trying again is harmless. If the set-up is at a server by then it may have run there, and an at-most-once request may not be tried again.

Fix: withdrawalAnswer decides, as for set-ups that are resent too late: 504 if an attempt was sent, else 503; answer and withdrawal are set in one step, so that no attempt begins between them. TestTearDownOnAnotherConnectionIsAnswered demanded the 503 for a set-up that its server had; that is the fault, and it demands 504 now (failed before: got 503). TestTearDownBeforeAttemptIsRefused holds the other order.

--- a/internal/node/resend.go
+++ b/internal/node/resend.go
@@ -38,11 +38,16 @@
 	return s.conn, s.connLost, true
 }
 
-// claimAnswerOnTearDown sets the final answer of a request that was torn down on another connection. It returns false
-// if the request is answered or withdrawn already.
-func (s *session) claimAnswerOnTearDown(r finalAnswer) bool {
-	_, _, first := s.claimAnswer(r)
-	return first
+// claimAnswerOnTearDown withdraws a request that was torn down on another connection, and sets its final answer. It
+// returns nil if the request is answered or withdrawn already.
+func (s *session) claimAnswerOnTearDown() *finalAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.answered || s.withdrawn {
+		return nil
+	}
+	s.answered, s.withdrawn, s.answer = true, true, s.withdrawalAnswer()
+	return s.answer
 }
 
 // markConnLost records that the request's connection was closed. It returns false if the request has moved to another
@@ -71,8 +76,9 @@
 	return true
 }
 
-// withdrawalAnswer returns the answer to a set-up that was resent too late. If an attempt was sent to a server, the
-// set-up may have run there, so the answer must not imply that it did not.
+// withdrawalAnswer returns the answer to a set-up that was withdrawn, for a viewer that still awaits one. If an attempt
+// was sent to a server, the set-up may have run there, so the answer must not imply that it did not. The caller holds
+// s.mu.
 func (s *session) withdrawalAnswer() *finalAnswer {
 	if s.attemptSent {
 		return &finalAnswer{status: statusGatewayTimeout}
--- a/internal/node/viewerconn.go
+++ b/internal/node/viewerconn.go
@@ -267,8 +267,8 @@
 	wasWaiting := s.awaitsAnswer()
 	conn := s.currentConn()
 	if conn != c && wasWaiting {
-		if r := (finalAnswer{status: statusServiceUnavailable}); s.claimAnswerOnTearDown(r) {
-			conn.out.enqueue(s.appendAnswer(r))
+		if answer := s.claimAnswerOnTearDown(); answer != nil {
+			conn.out.enqueue(s.appendAnswer(*answer))
 		}
 	}
 	s.withdraw()
