Front node: a set-up that is refused as malformed or incomplete is refused by name

Fix: rtsp.Reader.SetUpHeaders gives what was received of a SETUP; the response carries it unless the id belongs to a request that came on the same connection, for which it would be a second answer.

--- a/internal/node/accepted_test.go
+++ b/internal/node/accepted_test.go
@@ -12,17 +12,22 @@
 // received must still be answered.
 
 // TestMalformedMessageSparesEarlierRequests guards against losing the requests that precede a malformed or incomplete
-// message on its connection: they are answered there, and then the connection is closed.
+// message on its connection: they are answered there, and then the connection is closed. A set-up whose id was received
+// is refused by name, unless the refusal could be taken for the answer to an earlier one.
 func TestMalformedMessageSparesEarlierRequests(t *testing.T) {
 	good := setUpRequest(idC, "free", "")
 	for name, c := range map[string]struct {
 		text   string
+		id     string // of the message that is refused, if it was received
 		status int
 	}{
-		"noise":           {"\x16\x03\x01\x02\x00\x01\r\n\r\n", 400},
-		"negative length": {strings.Replace(good, "Content-Length: ", "Content-Length: -", 1), 400},
-		"too large":       {strings.Replace(good, "Content-Length: ", "Content-Length: 6000000", 1), 413},
-		"incomplete":      {good[:60], 408},
+		"noise":             {"\x16\x03\x01\x02\x00\x01\r\n\r\n", "", 400},
+		"negative length":   {strings.Replace(good, "Content-Length: ", "Content-Length: -", 1), idC, 400},
+		"too large":         {strings.Replace(good, "Content-Length: ", "Content-Length: 6000000", 1), idC, 413},
+		"incomplete":        {good[:60], "", 408},
+		"incomplete body":   {good[:len(good)-1], idC, 408},
+		"id of the request": {strings.Replace(setUpRequest(idA, "paid", ""), "Content-Length: ", "Content-Length: -", 1), "", 400},
+		"not a set-up":      {strings.Replace(tearDownRequest(idC), "Content-Length: 0", "Content-Length: -", 1), "", 400},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -32,7 +37,7 @@
 			v := n.dial().send(long.Replace(setUpRequest(idA, "paid", "") + setUpRequest(idB, "paid", "")))
 			first, second := b.next(t, "open"), b.next(t, "open")
 			v.send(c.text)
-			v.wantAnswer("", c.status)
+			v.wantAnswer(c.id, c.status)
 			answerReady(first)
 			v.wantAnswer(first.ID, 200)
 			v.send(setUpRequest(idC, "free", "")) // not handled, since it follows the malformed message
--- a/internal/node/viewerconn.go
+++ b/internal/node/viewerconn.go
@@ -80,10 +80,10 @@
 		var rtspErr *rtsp.Error
 		switch {
 		case errors.As(err, &rtspErr):
-			c.respondError(rtspErr.Status, err)
+			c.respondError(rtspErr.Status, reader, err)
 			return closedMalformedMessage
 		case socketerror.Classify(err, socketerror.Transfer) == socketerror.DeadlineExceeded:
-			c.respondError(statusRequestTimeout, err)
+			c.respondError(statusRequestTimeout, reader, err)
 			return closedMessageTimeout
 		case err != nil:
 			return c.readErrorReason(err)
--- a/internal/rtsp/rtsp.go
+++ b/internal/rtsp/rtsp.go
@@ -92,6 +92,25 @@
 	return m, nil
 }
 
+// SetUpHeaders returns the CSeq and the Session of the message that Next has returned an error for, as far as its head
+// was received, so that an error response can refer to it. Both are empty unless it is a SETUP request.
+func (d *Reader) SetUpHeaders() (cseq, session string) {
+	line, rest, _ := strings.Cut(string(d.head), "\r\n")
+	m := &Message{}
+	if m.parseStartLine(line) != nil || m.Method != "SETUP" {
+		return "", ""
+	}
+	for rest != "" {
+		line, rest, _ = strings.Cut(rest, "\r\n")
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !isToken(name) {
+			break
+		}
+		m.Headers = append(m.Headers, Header{name, strings.Trim(value, " \t")})
+	}
+	return m.Get("CSeq"), m.Get("Session")
+}
+
 // unexpectedEOF turns io.EOF within a message into io.ErrUnexpectedEOF.
 func unexpectedEOF(err error) error {
 	if errors.Is(err, io.EOF) {
