--- a/internal/node/trial_servers_test.go
+++ b/internal/node/trial_servers_test.go
@@ -59,6 +59,10 @@
 	case jsonlines.TypeClose:
 		s.ended[server+" "+m.ID]++
 	case jsonlines.TypeOpen:
+		if isImpostor(m) { // no viewer's request: a server cannot use it
+			m.conn.send(`{"msg":"close","sid":%q,"attrs":{},"code":%d}`, m.ID, jsonlines.CauseError)
+			return
+		}
 		setUp := &receivedSetUp{server: server, conn: m.conn}
 		s.setUps[m.ID] = append(s.setUps[m.ID], setUp)
 		s.answerSetUp(setUp, m)
