--- a/internal/node/soak_clients_test.go
+++ b/internal/node/soak_clients_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rainpulley/internal/rtsp"
@@ -30,6 +31,9 @@
 		q := v.randomRequest()
 		v.node.soak.counts.requests.Add(1)
 		open.Go(func() { v.request(q) })
+		if v.random.IntN(40) == 0 {
+			v.breakConnection()
+		}
 		time.Sleep(time.Duration(v.random.IntN(60)) * time.Millisecond)
 	}
 	open.Wait()
@@ -38,6 +42,22 @@
 	}
 }
 
+// breakConnection has the network end the viewer's connection in one of several ways.
+func (v *soakViewer) breakConnection() {
+	v.mu.Lock()
+	conn := v.conn
+	v.mu.Unlock()
+	if conn == nil || isClosed(conn.ended) {
+		return
+	}
+	conn.broken.Store(true)
+	tcp := conn.Conn.(*net.TCPConn)
+	if v.random.IntN(2) == 0 {
+		_ = tcp.SetLinger(0) // a reset instead of an orderly end
+	}
+	_ = tcp.Close()
+}
+
 // soakRequest is one request of a viewer.
 type soakRequest struct {
 	id, class, text string
@@ -105,6 +125,8 @@
 		stalled := n.soak.starvation.since(sentAt)
 		lived := conn.endedAt.Sub(sentAt)
 		switch {
+		case conn.broken.Load() && (resent || lived > resendWindow):
+			return nil, sentAt // the network ended it; its viewer does not ask again
 		case resent || lived > resendWindow+stalled:
 			n.soak.t.Errorf("%s (%s): its connection ended %v after it was sent, without an answer (resent %t, unreadable %q, node may end at %v, stalled %v)",
 				q.id, q.class, lived, resent, conn.unreadable, n.shutdownTime(), stalled)
@@ -170,6 +192,7 @@
 	net.Conn
 	node    *soakNode
 	writeMu sync.Mutex
+	broken  atomic.Bool   // the network ended the connection
 	ended   chan struct{} // closed when nothing is read any more
 	// Set before ended is closed.
 	endedAt    time.Time
