--- a/internal/node/soak_test.go
+++ b/internal/node/soak_test.go
@@ -21,7 +21,7 @@
 // only what viewers, bad clients and servers received.
 
 const (
-	soakSeeds          = 4 // in parallel, by default; SOAK_SEEDS sets another number and SOAK_FIRST the first seed
+	soakSeeds          = 12 // by default; SOAK_SEEDS sets another number and SOAK_FIRST the first seed
 	soakParallel       = 4
 	soakNodes          = 3 // nodes of one soak, of which two run at a time
 	soakViewers        = 3 // viewers of one node that share a connection
@@ -61,6 +61,7 @@
 	servers     *trialServers
 	coordinator *scriptedCoordinator
 	list        []coordinator.Entry
+	known       []coordinator.Update // known to each node at its start
 	starvation  *starvationMonitor
 	nextID      atomic.Uint64
 	counts      soakCounts
@@ -78,8 +79,8 @@
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{t: t, seed: seed, servers: newTrialServers(seed), starvation: newStarvationMonitor(t)}
 	s.list = s.servers.start(t)
-	s.coordinator = newScriptedCoordinator(t, []coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true,
-		Servers: s.list}}})
+	s.known = []coordinator.Update{{Endpoints: &coordinator.Endpoints{Full: true, Servers: s.list}}}
+	s.coordinator = newScriptedCoordinator(t, s.known)
 	var running sync.WaitGroup
 	for i := range soakNodes {
 		running.Go(func() { s.runNode(uint64(i)) })
@@ -96,7 +97,7 @@
 func (s *soak) runNode(number uint64) {
 	random := s.random(100 * (number + 1))
 	n := &soakNode{soak: s, process: startChild(s.t, childOptions{trialSockets, defaultSettings,
-		[]string{helperArrivalWindowEnv + "=1"}}, s.coordinator.Listener.Addr().String(), s.coordinator.updates)}
+		[]string{helperArrivalWindowEnv + "=1"}}, s.coordinator.Listener.Addr().String(), s.known)}
 	n.process.dial().send(optionsRequest).wantAnswer("", statusOK)
 	var clients sync.WaitGroup
 	for i := range uint64(soakViewers) {
