Front node: no message over 16 KiB to viewers or servers

A description that fits a server's line may make the viewer's message longer than the 16 KiB of the protocol; the other way round, a viewer's description grows by up to six when it is escaped, and the server closes the connection on a line that it cannot read, one server after another.

Fix: an answer that would not fit is answered 504 and its session is ended at the server; a set-up that would not fit into a line is refused with 400.

--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -13,6 +13,10 @@
 // lateDivisor defines when an answer counts as late: in the last tenth of the request's time or after it.
 const lateDivisor = 10
 
+// maxAnswerHeadBytes is the size of an answer's head above which its exact size is computed: a line of the viewer's,
+// echoed, and the lines of this node.
+const maxAnswerHeadBytes = 5 << 10
+
 // session is a viewer's set-up request and the session that results from it. It implements core.Listener; the
 // orchestrator calls those methods on its own goroutine.
 type session struct {
@@ -68,31 +72,47 @@
 }
 
 // Answered sends the final answer. If the connection is closed, the answer is cached, since the viewer may resend the
-// set-up on another one.
+// set-up on another one. A session whose answer would be too large for its viewer to read has failed, and is ended.
 func (s *session) Answered(a core.Answer) {
 	r := toFinalAnswer(a)
+	oversized := s.isOversized(r)
+	if oversized {
+		s.node.Log.Warn("answer too large for a message", "session", s.id, "description", len(r.body))
+		r = finalAnswer{status: statusGatewayTimeout}
+	}
 	c, connLost, first := s.claimAnswer(r)
 	defer c.removeSetUp(s) // only once the answer is queued: until then the connection is not evicted
 	s.recordLateness(a)
 	if !first {
 		s.node.Log.Info("answer not sent: the viewer has left", "session", s.id, "answer", a.Kind.String())
-		if a.Kind == core.Playing {
-			s.node.orchestrator.ViewerLeft(s.id, s)
-		}
-		return
 	}
+	if a.Kind == core.Playing && (!first || oversized) {
+		s.node.orchestrator.ViewerLeft(s.id, s)
+	}
+	if first {
+		s.sendAnswer(r, c, connLost)
+	}
+}
+
+// isOversized reports whether an answer would exceed the size of a message.
+func (s *session) isOversized(r finalAnswer) bool {
+	return len(r.body)+maxAnswerHeadBytes > rtsp.MaxMessageBytes && len(s.appendAnswer(r)(nil)) > rtsp.MaxMessageBytes
+}
+
+// sendAnswer queues the final answer on the connection on which the set-up was last received.
+func (s *session) sendAnswer(r finalAnswer, c *viewerConn, connLost bool) {
 	s.node.cacheAnswer(s)
-	if a.Kind == core.Playing {
+	if r.status == statusOK {
 		c.addSessions(1)
 	}
 	if connLost {
-		s.node.Log.Info("answer cached: its connection is closed", "session", s.id, "answer", a.Kind.String(),
+		s.node.Log.Info("answer cached: its connection is closed", "session", s.id, "status", r.status,
 			"connection", uint64(c.id))
 		return
 	}
 	if !c.out.enqueueAndWrite(s.appendAnswer(r)) {
 		s.node.nearMisses.answersUnsent.Add(1)
-		s.node.Log.Warn("answer not sent: its connection is closed", "session", s.id, "answer", a.Kind.String(),
+		s.node.Log.Warn("answer not sent: its connection is closed", "session", s.id, "status", r.status,
 			"connection", uint64(c.id))
 		s.node.awaitResend(c, []*session{s})
 	}
--- a/internal/node/setup.go
+++ b/internal/node/setup.go
@@ -9,6 +9,7 @@
 	"unicode/utf8"
 
 	"rainpulley/control"
+	"rainpulley/internal/jsonlines"
 	"rainpulley/internal/rtsp"
 )
 
@@ -18,8 +19,24 @@
 	maxLengthHint  = 24 * time.Hour
 
 	maxDedupeKeyBytes = 256
+
+	// maxEscapedLength is the length of the longest JSON escape sequence of one byte.
+	maxEscapedLength = 6
+	// maxSetUpOverhead is more than a set-up's line to a server needs beside the texts that the viewer chose.
+	maxSetUpOverhead = 1 << 10
 )
 
+// fitsServerLine reports whether the set-up fits into one message to a server: escaped as JSON, a text may be several
+// times as long as it was received.
+func (s *session) fitsServerLine() bool {
+	if (len(s.description)+len(s.dedupeKey))*maxEscapedLength+maxSetUpOverhead <= jsonlines.MaxLineBytes {
+		return true
+	}
+	line := jsonlines.Append(nil, jsonlines.TypeOpen, s.id, s.appendSetUpAttrs(nil, maxTimeout, math.MaxInt16), -1,
+		s.description)
+	return len(line) <= jsonlines.MaxLineBytes
+}
+
 // isSessionID reports whether s consists of 16 lower-case hexadecimal digits.
 func isSessionID(s string) bool {
 	if len(s) != 16 {
@@ -86,7 +103,7 @@
 	if s.dedupeKey = m.Get("X-Dedupe"); len(s.dedupeKey) > maxDedupeKeyBytes || !utf8.ValidString(s.dedupeKey) {
 		return r, nil, "dedupe"
 	}
-	if !utf8.ValidString(s.description) {
+	if !utf8.ValidString(s.description) || !s.fitsServerLine() {
 		return r, nil, "description"
 	}
 	if problem := n.parseHeaders(m, arrived, &r, s); problem != "" {
