Front node: a connection with unread input is not closed to make room

A node that was paused or is short of processor time accepts what came meanwhile before it has read from the connections it has; without descriptors for all it then closed connections on which set-ups had arrived, the youngest silent ones first.

Cause: the choice looked at what had been read, not at what had arrived (closeIfIdle). Fix: closeIfIdle asks the socket (SIOCINQ) with the connection's lock held, and evict tries up to 16 others. golang.org/x/sys was an indirect dependency already.

--- a/internal/node/eviction.go
+++ b/internal/node/eviction.go
@@ -1,26 +1,43 @@
 package node
 
 import (
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
+// maxEvictionTries is how many connections are tried for one eviction, each of which may have received a request.
+const maxEvictionTries = 16
+
 // evict closes the connection whose loss does the least harm. It returns false if every connection awaits an answer or
-// the chosen one received a request in the meantime.
+// those that were tried have received something that is not read yet.
 func (v *viewerConns) evict(now time.Time) bool {
-	candidate := v.evictionCandidate(now)
-	if candidate == nil || !candidate.closeIfIdle(closedForCapacity) {
-		return false
+	tried := map[*viewerConn]bool{}
+	for range maxEvictionTries {
+		candidate := v.evictionCandidate(now, tried)
+		if candidate == nil {
+			return false
+		}
+		if candidate.closeIfIdle(closedForCapacity) {
+			v.node.nearMisses.viewersClosed.Add(1)
+			return true
+		}
+		tried[candidate] = true
 	}
-	v.node.nearMisses.viewersClosed.Add(1)
-	return true
+	return false
 }
 
-// evictionCandidate returns the connection whose loss does the least harm, or nil if every connection awaits an answer.
-func (v *viewerConns) evictionCandidate(now time.Time) (candidate *viewerConn) {
+// evictionCandidate returns the connection whose loss does the least harm, except for those that were tried. It returns
+// nil if every connection awaits an answer.
+func (v *viewerConns) evictionCandidate(now time.Time, tried map[*viewerConn]bool) (candidate *viewerConn) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	lowestRank, oldestUse := rankAwaitingAnswer, now
 	for c := range v.conns {
+		if tried[c] {
+			continue
+		}
 		if rank, lastUsed := c.rankForEviction(now); rank < lowestRank ||
 			rank == lowestRank && rank != rankAwaitingAnswer && lastUsed.Before(oldestUse) {
 			candidate, lowestRank, oldestUse = c, rank, lastUsed
@@ -29,6 +46,30 @@
 	return candidate
 }
 
+// hasUnreadInput reports whether bytes have arrived on the connection that are not read yet. This happens if the process
+// was paused or is short of processor time: the reader is ready to run, but has not run yet. A connection that is not
+// read any more has none that matter. The caller holds c.mu.
+func (c *viewerConn) hasUnreadInput() bool {
+	if c.draining {
+		return false
+	}
+	socket, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := 0
+	err = raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
+			unread = n
+		}
+	})
+	return err == nil && unread > 0
+}
+
 // evictionRank orders connections by the harm that closing them does, least first.
 type evictionRank int
 
--- a/internal/node/viewerclose.go
+++ b/internal/node/viewerclose.go
@@ -242,9 +242,11 @@
 }
 
 // closeIfIdle closes the connection unless a request is pending on it, even one that arrived after the connection was
-// chosen for eviction.
+// chosen for eviction, or one that is not read yet.
 func (c *viewerConn) closeIfIdle(reason closeReason) bool {
-	return c.closeUnless(reason, func() bool { return c.closed || c.handlingMessage || len(c.openSetUps) > 0 })
+	return c.closeUnless(reason, func() bool {
+		return c.closed || c.handlingMessage || len(c.openSetUps) > 0 || c.hasUnreadInput()
+	})
 }
 
 // closeUnless closes the connection unless the condition, evaluated with c.mu held, is true.
