Front node: a late answer to a given-up set-up is not taken for another one's under its id

The viewer had given its set-up up; the connection was used again at once, for the bad client's set-up under the same id, and the server's answer to the first one crossed the close.

Cause: an answer belongs to the set-up whose id is active on its connection, and the id came twice on it. Fix: a connection on which a set-up was given up is retired when another one under its id would use it. TestLateAnswerIsNotAnotherSetUps failed before (200 with the viewer's description) and passes.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -16,7 +16,7 @@
 
 const (
 	admitted         admissionResult = iota
-	connectionClosed                 // the connection ended before anything was written on it
+	connectionClosed                 // the connection cannot be used, and nothing was written on it
 	notWanted                        // not sent: its viewer has left, its time is up or its server is not ready
 )
 
@@ -96,6 +96,9 @@
 		return notWanted
 	case c.detached:
 		return connectionClosed
+	case c.wasGivenUp(id): // a late answer to that set-up would be taken for the answer to this one
+		p.retireConn(c)
+		return connectionClosed
 	case !viewerSession.beginAttempt():
 		return notWanted
 	}
--- a/internal/node/identity_test.go
+++ b/internal/node/identity_test.go
@@ -117,3 +117,21 @@
 	n.dial().send(setUpRequest(idA, "paid", "")).wantAnswer(idA, statusGatewayTimeout)
 	n.wantNoSetUp(b, idA)
 }
+
+// Guards against: a server's late answer to a set-up that was given up was taken for the answer to another client's
+// set-up under the same id, which came on the same connection.
+func TestLateAnswerIsNotAnotherSetUps(t *testing.T) {
+	b := newBox(t, "s-1", nil)
+	n := startNode(t, b)
+	viewer := n.dial().send(setUpRequest(idA, "paid", ""))
+	opened := b.next(t, jsonlines.TypeOpen)
+	viewer.send(tearDownRequest(idA))
+	b.next(t, jsonlines.TypeClose)
+	n.wantSessionCount(0)
+	impostor := n.dial().send(impostorSetUp(idA, "paid"))
+	later := b.next(t, jsonlines.TypeOpen)
+	answerReady(opened) // crosses the close and the second set-up
+	later.conn.send(`{"msg":"close","sid":%q,"attrs":{},"code":%d}`, idA, jsonlines.CauseError)
+	impostor.wantAnswer(idA, statusGatewayTimeout)
+	n.wantSessionCount(0)
+}
