Front node: a resent set-up is looked up among answered and open requests in one step

A set-up that is resent was looked up among the recently answered requests, then among the open ones. A request that was answered and closed between the two was in neither: the copy began anew, and an at-most-once request ran twice.

Fix: register looks in both with the lock held.

--- a/internal/node/identity_test.go
+++ b/internal/node/identity_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -135,3 +137,36 @@
 	impostor.wantAnswer(idA, statusGatewayTimeout)
 	n.wantSessionCount(0)
 }
+
+// Guards against: a set-up that was resent just as its request was answered and closed began anew, so that an
+// at-most-once request ran twice.
+func TestResentSetUpMeetsClosingRequest(t *testing.T) {
+	const crossings = 50_000 // the two look-ups were nanoseconds apart
+	for range crossings {
+		n := &Node{sessions: map[string]*session{}, startedAt: time.Now(),
+			recentAnswers: answerCache{retention: time.Minute, byIdentity: map[setUpIdentity]*session{}}}
+		first, second := &viewerConn{id: 1}, &viewerConn{id: 2}
+		original, resent := &session{node: n, id: idA, conn: first}, &session{node: n, id: idA, conn: second}
+		n.register(original, first)
+		original.beginAttempt()
+		original.claimAnswer(finalAnswer{status: statusGatewayTimeout})
+		done := make(chan struct{})
+		var ready atomic.Int32
+		meet := func() {
+			for ready.Add(1); ready.Load() < 2; {
+				runtime.Gosched()
+			}
+		}
+		go func() {
+			defer close(done)
+			meet()
+			n.cacheAnswer(original)
+			original.Closed()
+		}()
+		meet()
+		if n.register(resent, second) != original {
+			t.Fatal("the resent set-up began anew")
+		}
+		<-done
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -257,17 +257,6 @@
 	}
 }
 
-// register records a set-up, or returns the session that is open under its id.
-func (n *Node) register(s *session) (existing *session) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if existing = n.sessions[s.id]; existing != nil {
-		return existing
-	}
-	n.sessions[s.id] = s
-	return nil
-}
-
 func (n *Node) findSession(id string) *session {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -290,7 +279,7 @@
 
 // adopt takes over a session that plays already. A session that this node has under the same id stays unchanged.
 func (n *Node) adopt(r control.Request, s *session) {
-	if n.register(s) != nil {
+	if n.register(s, s.conn) != nil {
 		return
 	}
 	end, ended := n.pool.adopt(r.ID, r.Server)
--- a/internal/node/resend.go
+++ b/internal/node/resend.go
@@ -224,19 +224,28 @@
 	n.recentAnswers.add(s, n.now())
 }
 
-// recentlyAnswered returns the recently answered request with an identity, or nil.
-func (n *Node) recentlyAnswered(identity setUpIdentity) *session {
+// register records a set-up that was received on a connection. If the set-up is not new, or its session id is open, it
+// returns the request that has it instead: a recently answered one that was resent, or else the open one. Both are looked
+// up in one step, because a request is cached before it is closed.
+func (n *Node) register(s *session, c *viewerConn) (existing *session) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.recentAnswers.find(identity, n.now())
+	answered := n.recentAnswers.find(s.identity(), n.now())
+	if answered != nil && !s.adopted && answered.isResentOn(c) {
+		return answered
+	}
+	if existing = n.sessions[s.id]; existing != nil {
+		return existing
+	}
+	n.sessions[s.id] = s
+	return nil
 }
 
-// handleResentAnswered handles a set-up that was recently answered. It returns false if it was not resent. A request of which no attempt was sent to a server may start anew, unless its viewer
-// resent it on a newer connection than this one.
-func (c *viewerConn) handleResentAnswered(s *session) bool {
-	answered := c.node.recentlyAnswered(s.identity())
-	return answered != nil && (answered.wasAttemptSent() || answered.currentConn().id > c.id) &&
-		c.handleResent(s, answered)
+// isResentOn reports whether an answered request that is received again on a connection was resent. A request of which
+// no attempt was sent to a server may start anew, unless its viewer resent it on a newer connection than this one.
+func (s *session) isResentOn(c *viewerConn) bool {
+	conn := s.currentConn()
+	return conn != c && (s.wasAttemptSent() || conn.id > c.id)
 }
 
 // expireAnswers removes cached answers that are too old.
--- a/internal/node/viewerconn.go
+++ b/internal/node/viewerconn.go
@@ -173,10 +173,7 @@
 		c.node.adopt(r, s)
 		return
 	}
-	if c.handleResentAnswered(s) {
-		return
-	}
-	if existing := c.node.register(s); existing != nil {
+	if existing := c.node.register(s, c); existing != nil {
 		if !c.handleResent(s, existing) {
 			c.refuseDuplicate(s, existing)
 		}
