--- a/internal/peaks/ledger.go
+++ b/internal/peaks/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -9,6 +10,12 @@
 // Key identifies a hold.
 type Key struct{ Peak, Title, Box string }
 
+// compare orders keys by peak, title and box.
+func (k Key) compare(other Key) int {
+	return cmp.Or(strings.Compare(k.Peak, other.Peak), strings.Compare(k.Title, other.Title),
+		strings.Compare(k.Box, other.Box))
+}
+
 // Usage is what the sessions of a peak's title use on a box, as one edge reports it. Rate is in kB/s.
 type Usage struct {
 	Key
@@ -59,7 +66,7 @@
 	l.plannedHolds = make(map[Key]Hold, len(holds))
 	for _, h := range holds {
 		if h.Rate >= 0 && h.Streams >= 0 {
-			l.plannedHolds[Key{h.Peak, h.Title, h.Box}] = h
+			l.plannedHolds[h.key()] = h
 		}
 	}
 }
@@ -98,11 +105,12 @@
 	}
 }
 
-// usageByKey returns the usage of all edges, summed by key.
+// usageByKey returns the usage of all edges, summed by key. The edges are added in the order of their names, since the
+// last digit of a sum depends on the order.
 func (l *Ledger) usageByKey() map[Key]Usage {
 	out := map[Key]Usage{}
-	for _, r := range l.reports {
-		for k, u := range r.usage {
+	for _, edge := range slices.Sorted(maps.Keys(l.reports)) {
+		for k, u := range l.reports[edge].usage {
 			sum := out[k]
 			sum.Rate, sum.Streams = sum.Rate+u.Rate, sum.Streams+u.Streams
 			out[k] = sum
@@ -114,11 +122,11 @@
 // UsageByBox returns what the sessions of peaks use on each box.
 func (l *Ledger) UsageByBox() map[string]Usage { return sumByBox(l.usageByKey()) }
 
-// sumByBox sums usage by box.
+// sumByBox sums usage by box, in the order of the keys.
 func sumByBox(usage map[Key]Usage) map[string]Usage {
 	out := map[string]Usage{}
-	for k, u := range usage {
-		sum := out[k.Box]
+	for _, k := range slices.SortedFunc(maps.Keys(usage), Key.compare) {
+		sum, u := out[k.Box], usage[k]
 		sum.Rate, sum.Streams = sum.Rate+u.Rate, sum.Streams+u.Streams
 		out[k.Box] = sum
 	}
@@ -136,9 +144,7 @@
 			out = append(out, h)
 		}
 	}
-	slices.SortFunc(out, func(a, b Hold) int {
-		return cmp.Or(strings.Compare(a.Peak, b.Peak), strings.Compare(a.Title, b.Title), strings.Compare(a.Box, b.Box))
-	})
+	slices.SortFunc(out, func(a, b Hold) int { return a.key().compare(b.key()) })
 	streams := map[string]float64{}
 	for _, h := range out {
 		streams[PeakTitleKey(h.Peak, h.Title)] += h.Streams
--- a/internal/peaks/plan.go
+++ b/internal/peaks/plan.go
@@ -100,6 +100,8 @@
 	Rate, Streams    float64
 }
 
+func (h Hold) key() Key { return Key{h.Peak, h.Title, h.Box} }
+
 // Plan is a set of holds and its expected worth per second.
 type Plan struct {
 	Holds []Hold
