Front node: a set-up refused before it is submitted is answered where it was resent

Fix: the refusal is claimed like any answer and goes to the connection that the viewer used last. TestRefusedSetUpIsAnsweredWhereItWasResent: no answer without the fix (10 s), 503 with it.

--- a/internal/node/resent_test.go
+++ b/internal/node/resent_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"strings"
@@ -9,6 +10,7 @@
 	"time"
 
 	"rainpulley/internal/jsonlines"
+	"rainpulley/internal/rtsp"
 )
 
 // The tests of this file break a viewer's connection under a pending set-up and resend the set-up on a new connection,
@@ -150,6 +152,27 @@
 	n.wantSessionCount(0)
 }
 
+// Guards against: a set-up that was refused before it was submitted, since its connection had ended, was never answered
+// on the connection on which its viewer had resent it in that moment.
+func TestRefusedSetUpIsAnsweredWhereItWasResent(t *testing.T) {
+	n := startNode(t, newBox(t, "s-1", nil))
+	text := setUpRequest(idA, "paid", "")
+	m, err := rtsp.NewReader(bufio.NewReader(strings.NewReader(text))).Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, original, _ := n.parseSetUp(m, time.Now())
+	ended, _ := net.Pipe()
+	first := newViewerConn(n.Node, ended, time.Now())
+	original.conn = first
+	n.register(original, first)
+	resent := n.dial().send(text)
+	eventually(t, "the resent set-up joined", func() bool { return original.currentConn() != first })
+	original.refuse()
+	resent.wantAnswer(idA, statusServiceUnavailable)
+	n.wantSessionCount(0)
+}
+
 func (c resentCase) run(t *testing.T, r *relay, received *messageLog) {
 	first, relayed := r.dial(t)
 	second, _ := r.dial(t) // connected in advance, so that no handshake delays the resend
--- a/internal/node/viewerconn.go
+++ b/internal/node/viewerconn.go
@@ -189,12 +189,22 @@
 		!c.node.orchestrator.Submit(r, s) {
 		c.node.Log.Info("set-up refused", "session", s.id, "status", statusServiceUnavailable,
 			"waiting", c.openSetUpCount(), "leaving", shuttingDown, "connection", uint64(c.id))
-		c.node.unregister(s)
-		c.respond(m, statusServiceUnavailable)
-		c.removeSetUp(s)
+		s.refuse()
 	}
 }
 
+// refuse answers a registered set-up that is not submitted. Its viewer may have resent it on another connection since:
+// the answer is sent where the viewer awaits it.
+func (s *session) refuse() {
+	refusal := finalAnswer{status: statusServiceUnavailable}
+	conn, _, first := s.claimAnswer(refusal)
+	if first {
+		conn.out.enqueue(s.appendAnswer(refusal))
+	}
+	s.node.unregister(s)
+	conn.removeSetUp(s)
+}
+
 // refuseDuplicate refuses a set-up under an open session id that differs from the open request or came on the same
 // connection. The open request need not be the viewer's own: two connections have no order, so the impostor's may have
 // been read first. The refusal therefore carries the session id, except on the connection on which the open request
