Front node: the clocks are sampled before the first connection is accepted

Cause: the first sample was the monitor goroutine's, which starts beside the accept loop. Fix: one sample in Run before the listener. TestClocksAreSampledBeforeFirstAccept fails in 3 of 3 runs before, passes after.

--- a/internal/node/clockmonitor_test.go
+++ b/internal/node/clockmonitor_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"net"
+	"sync"
 	"testing"
 	"time"
 )
@@ -62,3 +64,32 @@
 		}
 	}
 }
+
+// acceptHook is a listener that calls a function before the first accept.
+type acceptHook struct {
+	net.Listener
+	beforeFirst func()
+}
+
+func (l *acceptHook) Accept() (net.Conn, error) {
+	l.beforeFirst()
+	return l.Listener.Accept()
+}
+
+// Guards against: a node that is paused before its clocks were sampled once does not notice the pause.
+func TestClocksAreSampledBeforeFirstAccept(t *testing.T) {
+	const starts = 100
+	for range starts {
+		checked := make(chan bool, 1)
+		startModifiedNode(t, func(n *Node) {
+			n.Listener = &acceptHook{n.Listener, sync.OnceFunc(func() {
+				n.clocks.mu.Lock()
+				defer n.clocks.mu.Unlock()
+				checked <- !n.clocks.lastSample.IsZero()
+			})}
+		}, newBox(t, "s-1", nil))
+		if !<-checked {
+			t.Fatal("connections are accepted before the first sample")
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,6 +194,7 @@
 	}
 	orchestratorDone := make(chan struct{})
 	go func() { n.orchestrator.Run(runCtx); close(orchestratorDone) }()
+	n.clocks.sample(time.Now()) // before the first request may arrive: a pause is the time since a sample
 	listener := n.Listener
 	if listener == nil {
 		var err error
