Planner: an operator's drain outlives the time in which its box is not known

Cause: loadOverrides dropped drains of boxes that the monitor did not know, and boxes of a catalogue are known only once it is read; a drain was also kept in the box's state, and went with it when the box left the catalogue and returned.

Fix: the monitor keeps operators' drains by id, beside the boxes; a stored drain is never dropped, and may be ended while its box is unknown.

--- a/internal/planner/monitor.go
+++ b/internal/planner/monitor.go
@@ -27,9 +27,12 @@
 type Monitor struct {
 	goneAfter int
 	boxes     map[string]*boxState
-	titles    map[string]view.Title
-	version   uint64
-	lastView  view.View
+	// operatorDrains are the boxes that operators drain, whatever the boxes report. A box need not be known: it may come
+	// from a source that is not read yet, or return to one.
+	operatorDrains map[string]bool
+	titles         map[string]view.Title
+	version        uint64
+	lastView       view.View
 }
 
 type boxState struct {
@@ -38,7 +41,6 @@
 	missedChecks  int  // in a row
 	bootID        string
 	lastAnswerAt  time.Time  // last answer under that boot ID
-	operatorDrain bool       // applies whatever the box reports
 	reportedState view.State // reconciled from the sources; "": no source reports the box
 
 	linkUtilization, streams float64 // last reported
@@ -47,7 +49,8 @@
 // NewMonitor makes a Monitor without boxes and titles. Versions rise from first, which must be above the versions of
 // any earlier planner of the same fleet.
 func NewMonitor(goneAfter int, first uint64) *Monitor {
-	return &Monitor{goneAfter: max(goneAfter, 1), boxes: map[string]*boxState{}, titles: map[string]view.Title{},
+	return &Monitor{goneAfter: max(goneAfter, 1), boxes: map[string]*boxState{},
+		operatorDrains: map[string]bool{}, titles: map[string]view.Title{},
 		version: first, lastView: view.View{Version: first}}
 }
 
@@ -72,13 +75,18 @@
 // Remove removes a box.
 func (m *Monitor) Remove(id string) { delete(m.boxes, id) }
 
-// SetDrain starts or ends an operator's drain of a box. It returns false if there is no such box.
+// SetDrain starts or ends an operator's drain of a box. It returns false if there is no such box yet; the drain applies
+// as soon as there is one.
 func (m *Monitor) SetDrain(id string, on bool) bool {
+	if on {
+		m.operatorDrains[id] = true
+	} else {
+		delete(m.operatorDrains, id)
+	}
 	b := m.boxes[id]
 	if b == nil {
 		return false
 	}
-	b.operatorDrain = on
 	if on && b.box.State == view.StateReady {
 		b.box.State = view.StateDraining
 	} else if !on && b.box.State == view.StateDraining {
@@ -120,7 +128,7 @@
 	}
 	b.lastAnswerAt = c.AnsweredAt
 	b.box.State = view.StateReady
-	if c.Draining || b.operatorDrain {
+	if c.Draining || m.operatorDrains[id] {
 		b.box.State = view.StateDraining
 	}
 }
--- a/internal/planner/monitor_test.go
+++ b/internal/planner/monitor_test.go
@@ -147,3 +147,28 @@
 		}
 	})
 }
+
+// Guards against: an operator's drain was lost if its box was not known yet when the drain was restored, or left and
+// returned.
+func TestDrainOfBoxThatIsNotKnown(t *testing.T) {
+	monitor := NewMonitor(2, 1)
+	check := func() view.State {
+		monitor.Add(view.Box{ID: "late"})
+		monitor.RecordCheck("late", HealthCheck{Answered: true, BootID: "one", Started: time.UnixMilli(1)})
+		return monitor.boxes["late"].box.State
+	}
+	if monitor.SetDrain("late", true) {
+		t.Error("SetDrain returns true for an unknown box")
+	}
+	if state := check(); state != view.StateDraining {
+		t.Errorf("%s after the box is known, want draining", state)
+	}
+	monitor.Remove("late")
+	if state := check(); state != view.StateDraining {
+		t.Errorf("%s after the box has returned, want draining", state)
+	}
+	monitor.SetDrain("late", false)
+	if state := check(); state != view.StateReady {
+		t.Errorf("%s after the drain has ended, want ready", state)
+	}
+}
--- a/internal/planner/overrides.go
+++ b/internal/planner/overrides.go
@@ -75,8 +75,8 @@
 	return nil
 }
 
-// loadOverrides restores the overrides that an earlier process stored. Those for boxes or cells that the site no
-// longer has are dropped.
+// loadOverrides restores the overrides that an earlier process stored. Titles in cells that the site no longer has are
+// dropped. A drain of a box that is not known is kept: the box may come from a source that is not read yet.
 func (p *Planner) loadOverrides() {
 	var saved overrides
 	if p.State == "" || !p.readStateFile(p.overridesPath(), &saved) {
@@ -84,8 +84,7 @@
 	}
 	for _, id := range saved.Drains {
 		if !p.monitor.SetDrain(id, true) {
-			p.Log.Warn("dropped a stored drain: the site has no such box", "server", id)
-			continue
+			p.Log.Info("a stored drain applies once its box is known", "server", id)
 		}
 		p.overrides.Drains = append(p.overrides.Drains, id)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -289,7 +289,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	id := r.PathValue("id")
-	if p.monitor.boxes[id] == nil {
+	if p.monitor.boxes[id] == nil && !p.monitor.operatorDrains[id] { // the drain of a box that has left may be ended
 		http.Error(w, "no such box", http.StatusNotFound)
 		return
 	}
--- a/internal/planner/sources.go
+++ b/internal/planner/sources.go
@@ -280,7 +280,7 @@
 			status.Source, status.AgeMs, status.Reason = reconciled.Source, reconciled.Age.Milliseconds(), reconciled.Reason
 		}
 		switch {
-		case x.operatorDrain:
+		case p.monitor.operatorDrains[id]:
 			status.Reason = "drain told by an operator"
 		case x.missedChecks > 0 || !x.answered:
 			status.Reason = status.Reason + "; " + strconv.Itoa(x.missedChecks) + " of the planner's checks missed"
