Soak: scripted servers do not stop after 1,000 messages that no test takes

From then on such a server answered the first message of a connection only. Cause: a fault of the rig, seen since the soak sends some 1,200 messages to each server. Fix: the trials' servers have no such channel. TestSoak and TestRandomShutdownTrial pass under the race detector.

--- a/internal/node/scripted_test.go
+++ b/internal/node/scripted_test.go
@@ -33,7 +33,10 @@
 	_, _ = fmt.Fprintf(c, format+"\n", a...)
 }
 
-// box is a scripted server. It passes each received message to answer and then to the channel received.
+// maxUnreadMessages is how many messages a scripted server keeps for next before its connections block.
+const maxUnreadMessages = 1000
+
+// box is a scripted server. It passes each received message to answer and then to the channel received, if it has one.
 type box struct {
 	id       string
 	listener net.Listener
@@ -46,11 +49,16 @@
 }
 
 func newBox(t *testing.T, id string, answer func(receivedMessage)) *box {
+	return newBoxWithChannel(t, id, answer, make(chan receivedMessage, maxUnreadMessages))
+}
+
+// newBoxWithChannel starts a scripted server. Without a channel its messages are only passed to answer.
+func newBoxWithChannel(t *testing.T, id string, answer func(receivedMessage), received chan receivedMessage) *box {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &box{id: id, listener: l, received: make(chan receivedMessage, 1000), answer: answer}
+	b := &box{id: id, listener: l, received: received, answer: answer}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -83,7 +91,9 @@
 		if b.answer != nil {
 			b.answer(receivedMessage{m, c})
 		}
-		b.received <- receivedMessage{m, c}
+		if b.received != nil {
+			b.received <- receivedMessage{m, c}
+		}
 	}
 }
 
--- a/internal/node/trial_servers_test.go
+++ b/internal/node/trial_servers_test.go
@@ -39,7 +39,7 @@
 func (s *trialServers) start(t *testing.T) (list []coordinator.Entry) {
 	for i := range 3 {
 		name := fmt.Sprintf("s-%d", i+1)
-		list = append(list, newBox(t, name, func(m receivedMessage) { s.handleMessage(name, m) }).entry("up"))
+		list = append(list, newBoxWithChannel(t, name, func(m receivedMessage) { s.handleMessage(name, m) }, nil).entry("up"))
 	}
 	return list
 }
