--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -177,10 +177,14 @@
 	return held
 }
 
-// descriptors: a few hundred viewers ask an edge at once whose process may hold as many descriptors as a small front node.
+// descriptors: a few hundred viewers ask an edge within half a second, whose process may hold as many descriptors as a small
+// front node. Each keeps its connection open for 3 s, as players do.
 func descriptors(r *rig) int {
 	f := newFleet(r, 6, 1, func(f *fleet) { f.site["limits"] = map[string]any{"connections": 200, "sessions": 2000, "queue": 1024} })
 	f.startPlanner()
+	for _, b := range f.boxes {
+		b.setUpTime = 200 * time.Millisecond
+	}
 	edge := f.startProc("edge-0", "ulimit -n 256; "+f.edgeCommand(0))
 	f.waitReady()
 	crowd := 10
@@ -195,7 +199,8 @@
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				status := f.play(0, f.titles[n%len(f.titles)], "replay")
+				time.Sleep(time.Duration(n) * 500 * time.Millisecond / time.Duration(crowd))
+				status := f.playAndStay(0, f.titles[n%len(f.titles)], "replay", 3*time.Second)
 				count, _ := counts.LoadOrStore(status, new(atomic.Int64))
 				count.(*atomic.Int64).Add(1)
 			}()
--- a/review/rig-2/site.go
+++ b/review/rig-2/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -117,8 +118,21 @@
 
 // play asks an edge for a session of a new viewer and returns the answer's status; 0 if there was none.
 func (f *fleet) play(edge int, title, class string) int {
+	return f.playWith(&http.Transport{DisableKeepAlives: true}, edge, title, class)
+}
+
+// playAndStay is play on a connection that stays open for a time after the answer.
+func (f *fleet) playAndStay(edge int, title, class string, stay time.Duration) int {
+	transport := &http.Transport{}
+	status := f.playWith(transport, edge, title, class)
+	time.Sleep(stay)
+	transport.CloseIdleConnections()
+	return status
+}
+
+func (f *fleet) playWith(transport *http.Transport, edge int, title, class string) int {
 	viewer := "v" + strconv.FormatInt(f.viewers.Add(1), 10)
-	status, text := call("GET", "http://"+f.edges[edge]+"/play/"+title+"/index.m3u8?class="+class+"&key="+viewer, nil, 6*time.Second)
+	status, text := callWith(transport, "GET", "http://"+f.edges[edge]+"/play/"+title+"/index.m3u8?class="+class+"&key="+viewer, nil, 6*time.Second)
 	if status == 200 || len(text) > 80 {
 		text = ""
 	}
--- a/review/rig-2/util.go
+++ b/review/rig-2/util.go
@@ -184,7 +184,11 @@
 
 // call sends one HTTP request on a connection of its own; status 0 means that no whole answer came.
 func call(method, url string, body []byte, within time.Duration) (status int, text string) {
-	client := &http.Client{Timeout: within, Transport: &http.Transport{DisableKeepAlives: true}}
+	return callWith(&http.Transport{DisableKeepAlives: true}, method, url, body, within)
+}
+
+func callWith(transport *http.Transport, method, url string, body []byte, within time.Duration) (status int, text string) {
+	client := &http.Client{Timeout: within, Transport: transport}
 	req, err := http.NewRequest(method, url, bytes.NewReader(body))
 	must(err)
 	resp, err := client.Do(req)
