--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -287,3 +289,41 @@
 	}
 	return held
 }
+
+// hangup: a box that has left the catalogue is taken out of the site file, too, and the planner is told by SIGHUP.
+func hangup(r *rig) int {
+	f := newFleet(r, 6, 1, func(f *fleet) {
+		f.listBoxes()
+		f.site["consul"].(map[string]any)["wait"] = "5s"
+	})
+	planner := f.startPlanner()
+	f.startEdge(0)
+	f.waitReady()
+	out := f.boxes[4]
+	f.consul.update(func() { delete(f.consul.services, out.addr) })
+	f.note("box taken out of the catalogue", "box", out.addr)
+	stop := f.traffic(500*time.Millisecond, f.titles)
+	time.Sleep(70 * time.Second)
+	boxes := f.site["boxes"].([]any)
+	if r.trouble {
+		f.site["boxes"] = append(append([]any{}, boxes[:4]...), boxes[5:]...)
+		must(os.WriteFile(f.file, toJSON(f.site), 0o644))
+		f.note("box taken out of the site file", "box", out.addr)
+		check := f.startProc("check", "exec bin/rainpulley config check --site "+f.file)
+		<-check.exited
+		require(check.err == nil, "the site file is not valid")
+	}
+	planner.signal(syscall.SIGHUP)
+	f.note("SIGHUP to the planner")
+	time.Sleep(5 * time.Second)
+	stop()
+	status, _ := call("GET", "http://"+f.planner+"/v1/view", nil, time.Second)
+	f.note("planner asked for its view", "status", status)
+	if planner.hasExited() {
+		f.note("broken: the planner has ended", "error", fmt.Sprint(planner.err), "log", f.panicIn("planner"))
+		fmt.Println("the planner has ended:", planner.err)
+		return broken
+	}
+	require(status == 200, "the planner runs and does not answer")
+	return held
+}
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -11,6 +11,7 @@
 	"half-written":   halfWritten,
 	"lost-peak":      lostPeak,
 	"revived-box":    revivedBox,
+	"hangup":         hangup,
 	"descriptors":    descriptors,
 	"replaced-boxes": replacedBoxes,
 }
--- a/review/rig-2/util.go
+++ b/review/rig-2/util.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -227,3 +228,14 @@
 	}
 	return string(raw)
 }
+
+// panicIn returns the first line of a program's log that tells of a panic.
+func (r *rig) panicIn(name string) string {
+	raw, _ := os.ReadFile(filepath.Join(r.tmp, name+".log"))
+	for line := range strings.SplitSeq(string(raw), "\n") {
+		if strings.HasPrefix(line, "panic:") {
+			return line
+		}
+	}
+	return ""
+}
