--- a/review/rig-2/box.go
+++ b/review/rig-2/box.go
@@ -24,6 +24,7 @@
 	sessions map[string]*boxSession
 	streams  map[string]*boxStream
 	titles   map[string]bool // whole ones
+	pending  map[string]int  // set-ups in progress, by title
 	size     float64         // kB of a title
 	version  uint64
 	epoch    uint64
@@ -49,7 +50,7 @@
 
 func startBox(r *rig, cell int, zone string, titles []string) *box {
 	b := &box{rig: r, zone: zone, cell: cell, setUpTime: 20 * time.Millisecond, boot: "b" + strconv.Itoa(cell), started: time.Now().Add(-time.Hour),
-		sessions: map[string]*boxSession{}, streams: map[string]*boxStream{}, titles: map[string]bool{}, size: 60000}
+		sessions: map[string]*boxSession{}, streams: map[string]*boxStream{}, titles: map[string]bool{}, pending: map[string]int{}, size: 60000}
 	for _, t := range titles {
 		b.titles[t] = true
 	}
@@ -88,6 +89,9 @@
 	b.mu.Lock()
 	b.setUps = append(b.setUps, setUpSeen{time.Now(), id, q.Get("title")})
 	has := b.titles[q.Get("title")]
+	if has {
+		b.pending[q.Get("title")]++
+	}
 	b.load(w)
 	b.mu.Unlock()
 	b.rig.note("box got a set-up", "box", b.addr, "session", id, "title", q.Get("title"), "class", q.Get("class"), "viewer", q.Get("viewer"),
@@ -104,6 +108,7 @@
 	s.best, _ = strconv.Atoi(q.Get("best"))
 	b.mu.Lock()
 	b.sessions[id] = s
+	b.pending[s.title]--
 	b.mu.Unlock()
 	b.rig.note("box runs a session", "box", b.addr, "session", id)
 	w.Header().Set("Content-Location", "/t/"+s.title+"/index.m3u8")
@@ -230,7 +235,7 @@
 	defer b.mu.Unlock()
 	list := []map[string]any{}
 	for t := range b.titles {
-		playing := 0
+		playing := b.pending[t]
 		for _, s := range b.sessions {
 			if s.title == t {
 				playing++
@@ -294,12 +299,14 @@
 		return
 	}
 	title := r.PathValue("title")
+	inUse := b.pending[title] > 0
 	for _, s := range b.sessions {
-		if s.title == title {
-			w.Header().Set("Rainpulley-Reason", "in use")
-			http.Error(w, "in use", 409)
-			return
-		}
+		inUse = inUse || s.title == title
+	}
+	if inUse {
+		w.Header().Set("Rainpulley-Reason", "in use")
+		http.Error(w, "in use", 409)
+		return
 	}
 	if b.titles[title] {
 		delete(b.titles, title)
--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -222,8 +222,8 @@
 		fmt.Println("the edge has ended:", edge.err)
 		return broken
 	}
-	if f.play(0, f.titles[0], "replay") != 200 {
-		f.note("broken: the edge no longer serves")
+	if f.play(0, f.titles[0], "replay") == 0 { // a refusal is an answer
+		f.note("broken: the edge no longer answers")
 		return broken
 	}
 	return held
--- a/review/rig-2/util.go
+++ b/review/rig-2/util.go
@@ -84,7 +84,7 @@
 	go func() {
 		select {
 		case <-stopped:
-		case <-time.After(115 * time.Second):
+		case <-time.After(108 * time.Second):
 		}
 		r.note("stopped: the case takes too long")
 		r.end()
