Planner: announcements that were accepted are restored whatever is known at the restart

Cause: a restored announcement was checked like a new one, by the names and the time of that moment. TestAnnouncementsOutliveRestart failed before for the unknown title, the unknown class and the peak in progress. Now acceptance and planning are two questions: a record is restored as it was accepted, and each plan asks which names are known at that moment; the others wait and are listed as "pending" with the reason (GET /v1/peaks, gauge rainpulley_planner_peaks_pending).

--- a/internal/peaks/announcements.go
+++ b/internal/peaks/announcements.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -36,6 +37,8 @@
 	maxDurationMs    = 24 * 3600 * 1000
 	maxUncertaintyMs = 3600 * 1000
 	maxLeadMs        = 366 * 24 * 3600 * 1000
+	maxVersion       = 1 << 53 // the largest range of whole numbers that all JSON decoders keep
+	retentionMs      = 24 * 3600 * 1000
 )
 
 // KnownNames lists the names that an announcement may use.
@@ -44,32 +47,58 @@
 	Titles         map[string]bool
 }
 
-// FieldError reports the field of an announcement that is invalid.
-type FieldError struct{ Field, Reason string }
+// FieldError reports the field of an announcement that is invalid. UnknownName is true where the field names a title, a
+// class or a zone that is not known; it may become known later.
+type FieldError struct {
+	Field, Reason string
+	UnknownName   bool
+}
 
 func (e *FieldError) Error() string { return "peak: " + e.Field + ": " + e.Reason }
 
 // newFieldError returns a FieldError with a formatted reason.
 func newFieldError(field, format string, args ...any) error {
-	return &FieldError{field, fmt.Sprintf(format, args...)}
+	return &FieldError{Field: field, Reason: fmt.Sprintf(format, args...)}
+}
+
+// newUnknownNameError returns a FieldError for a name that is not known.
+func newUnknownNameError(field, name string) error {
+	return &FieldError{Field: field, Reason: fmt.Sprintf("%q is not known", name), UnknownName: true}
 }
 
-// Validate returns a FieldError for the first invalid field of the announcement. now is Unix milliseconds.
+// Validate returns a FieldError for the first invalid field of an announcement that arrives at now, in Unix
+// milliseconds. It must not be applied to an announcement that was accepted before: whether one is accepted depends on
+// the time and on the names that are known when it arrives.
 func (a *Announcement) Validate(known KnownNames, now int64) error {
-	switch {
-	case a.ID == "" || len(a.ID) > 64 ||
-		strings.ContainsFunc(a.ID, func(r rune) bool { return r <= ' ' || r == '/' || r > '~' }):
-		return newFieldError("id", "%q: 1 to 64 printable characters without blanks and slashes", a.ID)
-	case a.Version == 0:
-		return newFieldError("version", "must be above 0")
-	case a.Cancelled:
+	if err := a.validateIdentity(); err != nil {
+		return err
+	}
+	if a.Cancelled {
 		return nil
+	}
+	if err := a.validateValues(now); err != nil {
+		return err
+	}
+	return a.ValidateNames(known)
+}
+
+// validateIdentity checks the ID and the version.
+func (a *Announcement) validateIdentity() error {
+	if a.ID == "" || len(a.ID) > 64 ||
+		strings.ContainsFunc(a.ID, func(r rune) bool { return r <= ' ' || r == '/' || r > '~' }) {
+		return newFieldError("id", "%q: 1 to 64 printable characters without blanks and slashes", a.ID)
+	}
+	if a.Version == 0 || a.Version > maxVersion {
+		return newFieldError("version", "%d: must be above 0, %d at most", a.Version, uint64(maxVersion))
+	}
+	return nil
+}
+
+// validateValues checks the numbers and the list of titles.
+func (a *Announcement) validateValues(now int64) error {
+	switch {
 	case len(a.Titles) == 0 || len(a.Titles) > maxTitles:
 		return newFieldError("titles", "%d: 1 to %d", len(a.Titles), maxTitles)
-	case !slices.Contains(known.Classes, a.Class):
-		return newFieldError("class", "%q is not known", a.Class)
-	case a.Zone != "" && !slices.Contains(known.Zones, a.Zone):
-		return newFieldError("zone", "%q is not known", a.Zone)
 	case !(a.Rate > 0) || a.Rate > maxRate:
 		return newFieldError("rate", "%v: above 0, %d at most", a.Rate, maxRate)
 	case a.Duration <= 0 || a.Duration > maxDurationMs:
@@ -82,13 +111,10 @@
 		return newFieldError("worth", "%v: 0 to 1e6", a.Worth)
 	case a.Start <= 0 || a.Start > now+maxLeadMs:
 		return newFieldError("start_ms", "%d: within a year", a.Start)
-	case a.Start+a.Duration+a.Uncertainty <= now:
+	case a.IsPast(now):
 		return newFieldError("start_ms", "%d: the peak is past", a.Start)
 	}
 	for i, t := range a.Titles {
-		if !known.Titles[t] {
-			return newFieldError(fmt.Sprintf("titles[%d]", i), "%q is not known", t)
-		}
 		if slices.Contains(a.Titles[:i], t) {
 			return newFieldError(fmt.Sprintf("titles[%d]", i), "%q stands twice", t)
 		}
@@ -96,37 +122,82 @@
 	return nil
 }
 
-// AnnouncementStore holds the announcements by ID. A cancelled one is kept, so that an older version cannot restore it.
-type AnnouncementStore struct{ byID map[string]*Announcement }
+// ValidateNames returns a FieldError for the first class, zone or title that is not known.
+func (a *Announcement) ValidateNames(known KnownNames) error {
+	if !slices.Contains(known.Classes, a.Class) {
+		return newUnknownNameError("class", a.Class)
+	}
+	if a.Zone != "" && !slices.Contains(known.Zones, a.Zone) {
+		return newUnknownNameError("zone", a.Zone)
+	}
+	for i, t := range a.Titles {
+		if !known.Titles[t] {
+			return newUnknownNameError(fmt.Sprintf("titles[%d]", i), t)
+		}
+	}
+	return nil
+}
 
-// NewAnnouncementStore returns an empty store.
-func NewAnnouncementStore() *AnnouncementStore {
-	return &AnnouncementStore{byID: map[string]*Announcement{}}
+// end returns the latest time at which viewers arrive.
+func (a *Announcement) end() int64 { return a.Start + a.Duration + a.Uncertainty }
+
+// IsPast reports whether a peak that is not cancelled is over: its last viewers have arrived.
+func (a *Announcement) IsPast(now int64) bool { return !a.Cancelled && a.Start > 0 && a.end() <= now }
+
+// Record is an accepted announcement, as it is stored.
+type Record struct {
+	Announcement
+	KeepUntil int64 `json:"keep_until_ms,omitempty"` // Unix milliseconds; it is forgotten afterwards
 }
 
+// AnnouncementStore holds the accepted announcements by ID, whether or not the names in them are known at the moment. A
+// cancelled one is kept, so that an older version cannot restore it.
+type AnnouncementStore struct{ byID map[string]Record }
+
+// NewAnnouncementStore returns an empty store.
+func NewAnnouncementStore() *AnnouncementStore { return &AnnouncementStore{byID: map[string]Record{}} }
+
 // Announce stores an announcement, a change or a cancellation. changed is false if the version is not newer than the
 // stored one.
 func (s *AnnouncementStore) Announce(a Announcement, known KnownNames, now int64) (changed bool, err error) {
 	if err := a.Validate(known, now); err != nil {
 		return false, err
 	}
-	previous := s.byID[a.ID]
+	previous, exists := s.byID[a.ID]
 	switch {
-	case previous == nil && len(s.byID) >= maxPeaks:
-		return false, newFieldError("id", "%d peaks are announced already", maxPeaks)
-	case previous != nil && a.Version < previous.Version:
+	case exists && a.Version < previous.Version:
 		return false, nil
-	case previous != nil && a.Version == previous.Version:
+	case exists && a.Version == previous.Version:
 		if !previous.equal(&a) {
 			return false, newFieldError("version", "%d of %s was announced with another content", a.Version, a.ID)
 		}
 		return false, nil
 	}
+	if !exists && len(s.byID) >= maxPeaks {
+		return false, newFieldError("id", "%d peaks are announced already", maxPeaks)
+	}
 	a.Titles = slices.Clone(a.Titles)
-	s.byID[a.ID] = &a
+	s.byID[a.ID] = Record{Announcement: a, KeepUntil: a.keepUntil()}
 	return true, nil
 }
 
+// keepUntil returns when an announcement may be forgotten.
+func (a *Announcement) keepUntil() int64 { return a.end() + retentionMs }
+
+// Restore adds the records that an earlier process stored, as they are: they were accepted then. A record that is not
+// newer than the one in the store is ignored.
+func (s *AnnouncementStore) Restore(records []Record) {
+	for _, r := range records {
+		if previous, exists := s.byID[r.ID]; exists && previous.Version >= r.Version {
+			continue
+		}
+		if r.KeepUntil == 0 { // written by an earlier release
+			r.KeepUntil = r.keepUntil()
+		}
+		s.byID[r.ID] = r
+	}
+}
+
 // equal reports whether two announcements have the same content.
 func (a *Announcement) equal(b *Announcement) bool {
 	x, y := *a, *b
@@ -137,29 +208,32 @@
 // List returns all announcements, sorted by ID.
 func (s *AnnouncementStore) List() []Announcement {
 	out := make([]Announcement, 0, len(s.byID))
-	for _, a := range s.byID {
-		out = append(out, *a)
+	for _, r := range s.Records() {
+		out = append(out, r.Announcement)
 	}
-	slices.SortFunc(out, func(x, y Announcement) int { return strings.Compare(x.ID, y.ID) })
 	return out
 }
 
+// Records returns what must be stored to restore the announcements, sorted by ID.
+func (s *AnnouncementStore) Records() []Record {
+	return slices.SortedFunc(maps.Values(s.byID), func(x, y Record) int { return strings.Compare(x.ID, y.ID) })
+}
+
 // Get returns the announcement with an ID.
 func (s *AnnouncementStore) Get(id string) (Announcement, bool) {
-	a := s.byID[id]
-	if a == nil {
-		return Announcement{}, false
-	}
-	return *a, true
+	r, exists := s.byID[id]
+	return r.Announcement, exists
 }
 
-// RemoveExpired removes the announcements whose peak has been over for a day.
-func (s *AnnouncementStore) RemoveExpired(now int64) {
-	for id, a := range s.byID {
-		if a.Start+a.Duration+a.Uncertainty < now-maxDurationMs {
-			delete(s.byID, id)
+// RemoveExpired removes the announcements whose time to be kept is over, and returns them.
+func (s *AnnouncementStore) RemoveExpired(now int64) (removed []Announcement) {
+	for _, r := range s.Records() {
+		if r.KeepUntil < now {
+			removed = append(removed, r.Announcement)
+			delete(s.byID, r.ID)
 		}
 	}
+	return removed
 }
 
 // milliseconds converts a number of milliseconds to a duration.
--- a/internal/planner/metrics.go
+++ b/internal/planner/metrics.go
@@ -33,6 +33,9 @@
 	gauge("peaks", "Announcements in the book, cancelled ones too.", nil, func() float64 {
 		return float64(len(p.peakState.announcements.List()))
 	})
+	gauge("peaks_pending", "Announcements that are not planned for, since a name in them is not known.", nil, func() float64 {
+		return float64(len(p.pendingAnnouncements(p.knownNames())))
+	})
 	gauge("held_kilobytes_per_second", "Room held for peaks.", nil, func() (kb float64) {
 		for _, h := range p.peakState.ledger.RemainingHolds() {
 			kb += h.Rate
--- a/internal/planner/peaks.go
+++ b/internal/planner/peaks.go
@@ -78,28 +78,42 @@
 	if p.State == "" {
 		return nil
 	}
-	return writeStateFile(p.announcementsPath(), p.peakState.announcements.List())
+	return writeStateFile(p.announcementsPath(), p.peakState.announcements.Records())
 }
 
-// loadBook restores the announcements that an earlier process stored. Those that are over or invalid are dropped;
-// a file that cannot be decoded is ignored as a whole.
+// loadAnnouncements restores the announcements that an earlier process accepted, as they are: their names may come from
+// sources that are not read yet.
 func (p *Planner) loadAnnouncements() {
-	var list []peaks.Announcement
-	if p.State == "" || !p.readStateFile(p.announcementsPath(), &list) {
+	var records []peaks.Record
+	if p.State == "" || !p.readStateFile(p.announcementsPath(), &records) {
 		return
 	}
-	for _, a := range list {
-		if _, err := p.peakState.announcements.Announce(a, p.knownNames(), time.Now().UnixMilli()); err != nil {
-			p.Log.Warn("dropped a stored announcement", "id", a.ID, "error", err)
+	p.peakState.announcements.Restore(records)
+	for _, a := range p.peakState.announcements.List() {
+		p.Log.Info("announcement restored", "id", a.ID, "version", a.Version, "cancelled", a.Cancelled)
+	}
+}
+
+// pendingAnnouncements returns, by ID, why announcements are not planned for at the moment: the reason names what is
+// not known. p.mu is held.
+func (p *Planner) pendingAnnouncements(known peaks.KnownNames) map[string]string {
+	pending := map[string]string{}
+	for _, a := range p.peakState.announcements.List() {
+		if a.Cancelled {
+			continue
+		}
+		if err := a.ValidateNames(known); err != nil {
+			pending[a.ID] = err.Error()
 		}
 	}
+	return pending
 }
 
 func (p *Planner) registerPeakRoutes(mux *http.ServeMux) {
 	mux.HandleFunc("GET /v1/peaks", func(w http.ResponseWriter, _ *http.Request) {
 		p.mu.Lock()
 		response := map[string]any{"peaks": p.peakState.announcements.List(), "holds": p.peakState.ledger.RemainingHolds(),
-			"accounts": p.peakState.ledger.Accounts(), "plan": map[string]any{"by": p.peakState.plan.By,
+			"accounts": p.peakState.ledger.Accounts(), "pending": p.pendingAnnouncements(p.knownNames()), "plan": map[string]any{"by": p.peakState.plan.By,
 				"value": p.peakState.plan.Value, "took_ms": p.peakState.plan.Took.Seconds() * 1000}}
 		p.mu.Unlock()
 		w.Header().Set("Content-Type", "application/json")
@@ -245,7 +259,11 @@
 // p.mu is held.
 func (p *Planner) forecast(now int64) (*peaks.Fleet, []peaks.Demand, map[string]float64) {
 	state := &p.peakState
-	state.announcements.RemoveExpired(now)
+	for _, a := range state.announcements.RemoveExpired(now) {
+		delete(state.followers, a.ID)
+		p.Log.Info("announcement forgotten: it has been over for a day", "id", a.ID, "version", a.Version,
+			"cancelled", a.Cancelled)
+	}
 	state.ledger.ExpireReports(now - usageReportTTL.Milliseconds())
 	var demands []peaks.Demand
 	expectedSessions := map[string]float64{}
@@ -295,6 +313,9 @@
 		return peaks.Demand{}, 0
 	}
 	class := p.Site.ClassIndex(a.Class)
+	if class < 0 { // accepted under another site file
+		return peaks.Demand{}, 0
+	}
 	sessionSeconds := p.sessionLength(a).Seconds()
 	worth := a.Worth
 	if worth <= 0 {
@@ -386,7 +407,7 @@
 	}
 	now := time.Now().UnixMilli()
 	for _, a := range state.announcements.List() {
-		if a.Cancelled || now < a.Start-a.Uncertainty-arrivalCountLead.Milliseconds() ||
+		if a.Cancelled || p.Site.ClassIndex(a.Class) < 0 || now < a.Start-a.Uncertainty-arrivalCountLead.Milliseconds() ||
 			now > a.Start+a.Uncertainty+2*a.Duration+arrivalCountLead.Milliseconds() {
 			continue
 		}
--- /dev/null
+++ b/internal/planner/restart_test.go
@@ -0,0 +1,138 @@
+package planner
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"rainpulley/internal/config"
+	"rainpulley/internal/reconcile"
+	"rainpulley/internal/registry"
+	"rainpulley/internal/view"
+)
+
+// silentSource is a source that has not reported yet; a test passes its snapshots to the planner.
+type silentSource struct{}
+
+func (silentSource) Name() string { return "catalogue" }
+func (silentSource) Watch(ctx context.Context, _ func(registry.Snapshot), _ func(error)) {
+	<-ctx.Done()
+}
+
+// restartEnv is a planner without network that can be killed and started again with the same state folder.
+type restartEnv struct {
+	t       *testing.T
+	options Options
+	planner *Planner
+}
+
+func newRestartEnv(t *testing.T, sources bool) *restartEnv {
+	env := &restartEnv{t: t, options: Options{State: t.TempDir(), Log: slog.New(slog.DiscardHandler), Site: &config.Site{
+		Zones: []string{"z"}, Kinds: []config.Kind{{Name: "k", Streams: 9}}, Cells: 3, Racks: 1,
+		Classes: []config.Class{{Name: "play", Worth: 1}}, Ladder: []config.Rung{{Rate: 300, Worth: 1}}}}}
+	if sources {
+		env.options.Sources = []registry.Source{silentSource{}}
+	}
+	env.start()
+	return env
+}
+
+// start starts a planner; one that ran before counts as killed.
+func (env *restartEnv) start() { env.planner = New(env.options) }
+
+// deliver passes a snapshot with three boxes and the given titles to the planner, as its source would.
+func (env *restartEnv) deliver(titles ...string) {
+	snapshot := registry.Snapshot{Source: "catalogue", Version: uint64(time.Now().UnixNano()), Titles: []view.Title{}}
+	for i := range 3 {
+		id := fmt.Sprint("127.0.0.1:", 1+i)
+		snapshot.Boxes = append(snapshot.Boxes, registry.Box{Entry: reconcile.Entry{ID: id, Address: id}, Zone: "z", Kind: "k",
+			Cell: i, Weight: 1})
+	}
+	for _, name := range titles {
+		snapshot.Titles = append(snapshot.Titles, view.Title{Name: name, CellSpan: 1, LengthMs: 60_000})
+	}
+	env.planner.handleSnapshot(snapshot)
+}
+
+// call sends a request to the planner's handlers.
+func (env *restartEnv) call(method, path, body string) (int, string) {
+	mux := http.NewServeMux()
+	env.planner.registerPeakRoutes(mux)
+	mux.HandleFunc("POST /v1/boxes/{id}/drain", func(w http.ResponseWriter, r *http.Request) { env.planner.handleDrain(w, r, true) })
+	mux.HandleFunc("PUT /v1/titles/{name}", env.planner.handleSetTitle)
+	recorder := httptest.NewRecorder()
+	mux.ServeHTTP(recorder, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return recorder.Code, recorder.Body.String()
+}
+
+// peakBody returns an announcement of a peak with one title that begins in a time and lasts a minute.
+func peakBody(id, title string, in time.Duration) string {
+	return fmt.Sprintf(`{"id":%q,"version":1,"titles":[%q],"class":"play","start_ms":%d,"rate":2,"length_ms":60000}`, id, title,
+		time.Now().Add(in).UnixMilli())
+}
+
+func (env *restartEnv) want(method, path, body string, want int) {
+	env.t.Helper()
+	if code, text := env.call(method, path, body); code != want {
+		env.t.Errorf("%s %s: %d %s, want %d", method, path, code, text, want)
+	}
+}
+
+// wantPeak checks whether the planner lists a peak.
+func (env *restartEnv) wantPeak(when, id string, want bool) {
+	env.t.Helper()
+	if _, text := env.call("GET", "/v1/peaks", ""); strings.Contains(text, fmt.Sprintf(`{"id":%q,`, id)) != want {
+		env.t.Errorf("%s: peak %s listed: %v, want %v\n%s", when, id, !want, want, text)
+	}
+}
+
+// Guards against announcements that a restarted planner drops because their title is not known yet, their class or zone
+// is not in the site file for a while, or their viewers have arrived meanwhile.
+func TestAnnouncementsOutliveRestart(t *testing.T) {
+	env := newRestartEnv(t, true)
+	env.deliver("clip")
+	env.want("PUT", "/v1/peaks/soon", peakBody("soon", "clip", time.Hour), 201)
+	env.want("PUT", "/v1/peaks/ending", peakBody("ending", "clip", -59_800*time.Millisecond), 201)
+	env.want("PUT", "/v1/peaks/cancelled", peakBody("cancelled", "clip", time.Hour), 201)
+	env.want("DELETE", "/v1/peaks/cancelled", "", 201)
+	time.Sleep(250 * time.Millisecond) // the viewers of the second peak have arrived; its sessions play
+	env.start()
+	check := func(when string) {
+		t.Helper()
+		for _, id := range []string{"soon", "ending", "cancelled"} {
+			env.wantPeak(when, id, true)
+		}
+		env.planner.mu.Lock()
+		env.planner.forecast(time.Now().UnixMilli())
+		env.planner.publishHolds()
+		env.planner.mu.Unlock()
+	}
+	check("before the sources have reported")
+	env.deliver()
+	check("while the catalogue lacks the title")
+	env.want("PUT", "/v1/peaks/other", peakBody("other", "clip", time.Hour), 400)
+	classes := env.options.Site.Classes
+	changed := *env.options.Site
+	changed.Classes = []config.Class{{Name: "other", Worth: 1}}
+	env.options.Site = &changed
+	env.start()
+	env.deliver("clip")
+	check("while the site file lacks the class")
+	env.want("PUT", "/v1/peaks/other", strings.Replace(peakBody("other", "clip", time.Hour), "play", "other", 1), 201)
+	changed.Classes = classes
+	env.start()
+	env.deliver("clip")
+	check("once all names are known again")
+	env.planner.mu.Lock()
+	soon, _ := env.planner.peakState.announcements.Get("soon")
+	d, _ := env.planner.peakDemand(&soon, "clip", 2, time.Minute)
+	env.planner.mu.Unlock()
+	if d.Sessions <= 0 {
+		t.Errorf("the restored peak is not planned for: %+v", d)
+	}
+}
