Planner: a change takes effect only once it is on disk; a failed write is 503, not 400

Callers saw (by the test): with a state folder that could not be written, PUT of a peak was 400 and in force in memory; the same PUT again was 204, so that the caller took it for accepted, and it was gone after a restart. A cancellation alike: 400, then 204, and the peak was back after the restart. Cause: announce changed the store in memory before it wrote the file, and a repeat of what is in memory counts as acknowledged. Now a change is made to a copy, written, and only then replaces what is in force, for announcements, drains and titles alike. The disk is written to without the planner's main lock, so that a slow disk delays no view and no heartbeat. TestChangeThatIsNotStored failed before (400, listed, 204 instead of 503).

--- a/internal/peaks/announcements.go
+++ b/internal/peaks/announcements.go
@@ -157,6 +157,11 @@
 // NewAnnouncementStore returns an empty store.
 func NewAnnouncementStore() *AnnouncementStore { return &AnnouncementStore{byID: map[string]Record{}} }
 
+// Clone returns a copy, so that a change can be written to disk before it takes effect.
+func (s *AnnouncementStore) Clone() *AnnouncementStore {
+	return &AnnouncementStore{byID: maps.Clone(s.byID)}
+}
+
 // Announce stores an announcement, a change or a cancellation. changed is false if the version is not newer than the
 // stored one.
 func (s *AnnouncementStore) Announce(a Announcement, known KnownNames, now int64) (changed bool, err error) {
--- a/internal/planner/overrides.go
+++ b/internal/planner/overrides.go
@@ -1,11 +1,7 @@
 package planner
 
 import (
-	"encoding/json"
-	"errors"
-	"fmt"
-	"os"
-	"path/filepath"
+	"maps"
 	"slices"
 
 	"rainpulley/internal/view"
@@ -18,68 +14,47 @@
 	Titles map[string]view.Title `json:"titles"` // a span of 0 marks a removed title
 }
 
-// writeStateFile writes a value as JSON to a new file, syncs it and renames it to path, so that a crash leaves
-// either the old or the new file.
-func writeStateFile(path string, v any) error {
-	b, err := json.Marshal(v)
-	if err != nil {
-		return fmt.Errorf("planner: %w", err)
-	}
-	f, err := os.Create(path + ".new")
-	if err != nil {
-		return fmt.Errorf("planner: %w", err)
-	}
-	_, err = f.Write(b)
-	err = errors.Join(err, f.Sync(), f.Close())
-	if err == nil {
-		err = os.Rename(path+".new", path)
-	}
-	if err != nil {
-		return fmt.Errorf("planner: %w", err)
-	}
-	return nil
+// clone returns a copy that can be changed.
+func (o overrides) clone() overrides {
+	next := overrides{slices.Clone(o.Drains), map[string]view.Title{}}
+	maps.Copy(next.Titles, o.Titles)
+	return next
 }
 
-// readStateFile reads a file that writeStateFile wrote. It returns false if the file is missing or unusable, and
-// logs the latter.
-func (p *Planner) readStateFile(path string, into any) bool {
-	b, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return false
-	}
-	if err == nil {
-		err = json.Unmarshal(b, into)
-	}
+// changeOverrides applies a change to a copy of the overrides, stores it on disk, and then replaces the overrides and
+// calls apply with p.mu held. The disk is written to without p.mu, so that a slow one does not delay the view. check is
+// called first, with p.mu held; its error is returned.
+func (p *Planner) changeOverrides(check func() error, change func(*overrides), apply func()) error {
+	p.changeMu.Lock()
+	defer p.changeMu.Unlock()
+	p.mu.Lock()
+	err := check()
+	next := p.overrides.clone()
+	p.mu.Unlock()
 	if err != nil {
-		p.Log.Error("state file is unusable; ignoring it", "file", path, "error", err)
-	}
-	return err == nil
-}
-
-func (p *Planner) overridesPath() string { return filepath.Join(p.State, "told.json") }
-
-// changeOverrides applies a change to a copy of the overrides and stores it on disk before it takes effect. p.mu is
-// held.
-func (p *Planner) changeOverrides(change func(*overrides)) error {
-	next := overrides{slices.Clone(p.overrides.Drains), map[string]view.Title{}}
-	for k, v := range p.overrides.Titles {
-		next.Titles[k] = v
+		return err
 	}
 	change(&next)
-	if p.State != "" {
-		if err := writeStateFile(p.overridesPath(), next); err != nil {
-			return err
-		}
+	if err := p.storeState(overridesFile, next); err != nil {
+		return err
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.overrides = next
+	apply()
 	return nil
 }
 
+// titleFits reports whether a title that an operator set fits the site's cells; a span of 0 marks a removed title.
+func (p *Planner) titleFits(t view.Title) bool {
+	return t.HomeCell >= 0 && t.HomeCell < p.Site.Cells && t.CellSpan >= 0 && t.CellSpan <= p.Site.Cells
+}
+
 // loadOverrides restores the overrides that an earlier process stored. Titles in cells that the site no longer has are
 // dropped. A drain of a box that is not known is kept: the box may come from a source that is not read yet.
 func (p *Planner) loadOverrides() {
 	var saved overrides
-	if p.State == "" || !p.readStateFile(p.overridesPath(), &saved) {
+	if !p.loadState(overridesFile, &saved) {
 		return
 	}
 	for _, id := range saved.Drains {
@@ -90,8 +65,7 @@
 	}
 	p.overrides.Titles = map[string]view.Title{}
 	for name, title := range saved.Titles {
-		if title.Name != name || title.HomeCell < 0 || title.HomeCell >= p.Site.Cells ||
-			title.CellSpan < 0 || title.CellSpan > p.Site.Cells {
+		if title.Name != name || !p.titleFits(title) {
 			p.Log.Warn("dropped a stored title: it does not fit the site's cells", "title", name)
 			continue
 		}
--- a/internal/planner/peaks.go
+++ b/internal/planner/peaks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -58,34 +59,41 @@
 	return known
 }
 
-// announce adds one announcement and stores all announcements on disk before it returns. It reports whether the
+// announce adds one announcement and stores all announcements on disk before it takes effect. It reports whether the
 // announcements changed.
 func (p *Planner) announce(a peaks.Announcement) (bool, error) {
+	return p.changeAnnouncements(func(next *peaks.AnnouncementStore, now int64) (bool, error) {
+		return next.Announce(a, p.knownNames(), now)
+	})
+}
+
+// changeAnnouncements applies a change to a copy of the announcements, and replaces them by the copy once that is on
+// disk. The disk is written to without p.mu, so that a slow one does not delay the view. change is called with p.mu
+// held.
+func (p *Planner) changeAnnouncements(change func(*peaks.AnnouncementStore, int64) (bool, error)) (bool, error) {
+	p.changeMu.Lock()
+	defer p.changeMu.Unlock()
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	changed, err := p.peakState.announcements.Announce(a, p.knownNames(), time.Now().UnixMilli())
+	next := p.peakState.announcements.Clone()
+	changed, err := change(next, time.Now().UnixMilli())
+	p.mu.Unlock()
 	if err != nil || !changed {
-		return changed, err
+		return false, err
 	}
-	p.Log.Info("peak announcement accepted", "id", a.ID, "version", a.Version, "cancelled", a.Cancelled,
-		"start_ms", a.Start, "rate", a.Rate)
-	return true, p.saveAnnouncements()
-}
-
-func (p *Planner) announcementsPath() string { return filepath.Join(p.State, "peaks.json") }
-
-func (p *Planner) saveAnnouncements() error {
-	if p.State == "" {
-		return nil
+	if err := p.storeState(announcementsFile, next.Records()); err != nil {
+		return false, err
 	}
-	return writeStateFile(p.announcementsPath(), p.peakState.announcements.Records())
+	p.mu.Lock()
+	p.peakState.announcements = next
+	p.mu.Unlock()
+	return true, nil
 }
 
 // loadAnnouncements restores the announcements that an earlier process accepted, as they are: their names may come from
 // sources that are not read yet.
 func (p *Planner) loadAnnouncements() {
 	var records []peaks.Record
-	if p.State == "" || !p.readStateFile(p.announcementsPath(), &records) {
+	if !p.loadState(announcementsFile, &records) {
 		return
 	}
 	p.peakState.announcements.Restore(records)
@@ -143,13 +151,17 @@
 	if err == nil {
 		changed, err = p.announce(a)
 	}
+	if changed {
+		p.Log.Info("peak announcement accepted", "id", a.ID, "version", a.Version, "cancelled", a.Cancelled,
+			"start_ms", a.Start, "rate", a.Rate)
+	}
 	p.writePeakResult(w, changed, err)
 }
 
 func (p *Planner) writePeakResult(w http.ResponseWriter, changed bool, err error) {
 	switch {
 	case err != nil:
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		writeChangeError(w, err)
 	case changed:
 		w.WriteHeader(http.StatusCreated)
 	default:
@@ -157,21 +169,39 @@
 	}
 }
 
-// cancelPeak cancels a peak by announcing its next version as cancelled.
+// writeChangeError answers a request for a change that has no effect. If the planner is the cause, the same request may
+// succeed later.
+func writeChangeError(w http.ResponseWriter, err error) {
+	var notStored *storeError
+	status := http.StatusBadRequest
+	switch {
+	case errors.As(err, &notStored):
+		w.Header().Set("Retry-After", "1")
+		status = http.StatusServiceUnavailable
+	case errors.Is(err, errUnknownBox):
+		status = http.StatusNotFound
+	}
+	http.Error(w, err.Error(), status)
+}
+
+// handleCancelPeak cancels a peak by announcing its next version as cancelled.
 func (p *Planner) handleCancelPeak(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	a, ok := p.peakState.announcements.Get(r.PathValue("id"))
-	p.mu.Unlock()
-	if !ok {
+	id, exists := r.PathValue("id"), false
+	changed, err := p.changeAnnouncements(func(next *peaks.AnnouncementStore, now int64) (bool, error) {
+		var a peaks.Announcement
+		if a, exists = next.Get(id); !exists || a.Cancelled {
+			return false, nil
+		}
+		a.Version, a.Cancelled = a.Version+1, true
+		return next.Announce(a, p.knownNames(), now)
+	})
+	if !exists {
 		http.Error(w, "no such peak", http.StatusNotFound)
 		return
 	}
-	if a.Cancelled {
-		p.writePeakResult(w, false, nil)
-		return
+	if changed {
+		p.Log.Info("peak cancelled", "id", id)
 	}
-	a.Version, a.Cancelled = a.Version+1, true
-	changed, err := p.announce(a)
 	p.writePeakResult(w, changed, err)
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -38,6 +38,8 @@
 	Options
 	client *http1.Client
 
+	changeMu sync.Mutex // serializes changes that are stored in the state folder; locked before mu
+
 	mu          sync.Mutex
 	monitor     *Monitor
 	published   view.View
@@ -284,27 +286,32 @@
 		NowMs: time.Now().UnixMilli()})
 }
 
+// errUnknownBox reports that no source and no site file has a box.
+var errUnknownBox = errors.New("no such box")
+
 // handleDrain starts or ends an operator's drain of a box.
 func (p *Planner) handleDrain(w http.ResponseWriter, r *http.Request, on bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	id := r.PathValue("id")
-	if p.monitor.boxes[id] == nil && !p.monitor.operatorDrains[id] { // the drain of a box that has left may be ended
-		http.Error(w, "no such box", http.StatusNotFound)
-		return
+	check := func() error {
+		switch {
+		case p.monitor.boxes[id] != nil || p.monitor.operatorDrains[id]: // the drain of a box that has left may be ended
+			return nil
+		}
+		return errUnknownBox
 	}
-	err := p.changeOverrides(func(next *overrides) {
+	err := p.changeOverrides(check, func(next *overrides) {
 		next.Drains = slices.DeleteFunc(next.Drains, func(d string) bool { return d == id })
 		if on {
 			next.Drains = append(next.Drains, id)
 		}
+	}, func() {
+		p.monitor.SetDrain(id, on)
+		p.publishView()
 	})
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
+		writeChangeError(w, err)
 		return
 	}
-	p.monitor.SetDrain(id, on)
-	p.publishView()
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -314,22 +321,21 @@
 	if r.Method == http.MethodPut {
 		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4096))
 		decoder.DisallowUnknownFields()
-		if err := decoder.Decode(&t); err != nil || t.Name != r.PathValue("name") ||
-			t.HomeCell < 0 || t.HomeCell >= p.Site.Cells ||
-			t.CellSpan < 1 || t.CellSpan > p.Site.Cells || t.LengthMs < 0 || t.LengthMs > timeconv.MaxDuration.Milliseconds() {
+		if err := decoder.Decode(&t); err != nil || t.Name != r.PathValue("name") || !p.titleFits(t) ||
+			t.CellSpan < 1 || t.LengthMs < 0 || t.LengthMs > timeconv.MaxDuration.Milliseconds() {
 			http.Error(w, "want {\"name\",\"home\",\"span\",\"length_ms\"} that fit the cells", http.StatusBadRequest)
 			return
 		}
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err := p.changeOverrides(func(next *overrides) { next.Titles[t.Name] = t }); err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
+	err := p.changeOverrides(func() error { return nil }, func(next *overrides) { next.Titles[t.Name] = t }, func() {
+		p.monitor.SetTitle(t)
+		p.updateManagerTitle(t.Name)
+		p.updateHolders()
+		p.publishView()
+	})
+	if err != nil {
+		writeChangeError(w, err)
 		return
 	}
-	p.monitor.SetTitle(t)
-	p.updateManagerTitle(t.Name)
-	p.updateHolders()
-	p.publishView()
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -91,6 +93,15 @@
 	}
 }
 
+// blockWrites makes writes to the state folder fail until the returned function is called.
+func (env *restartEnv) blockWrites(name string) (unblock func()) {
+	obstacle := filepath.Join(env.options.State, name+".new")
+	if err := os.Mkdir(obstacle, 0o755); err != nil {
+		env.t.Fatal(err)
+	}
+	return func() { _ = os.Remove(obstacle) }
+}
+
 // Guards against announcements that a restarted planner drops because their title is not known yet, their class or zone
 // is not in the site file for a while, or their viewers have arrived meanwhile.
 func TestAnnouncementsOutliveRestart(t *testing.T) {
@@ -136,3 +147,30 @@
 		t.Errorf("the restored peak is not planned for: %+v", d)
 	}
 }
+
+// Guards against a change that is in force, or acknowledged when it is repeated, although it was never stored.
+func TestChangeThatIsNotStored(t *testing.T) {
+	env := newRestartEnv(t, true)
+	env.deliver("clip")
+	body := peakBody("friday", "clip", time.Hour)
+	unblock := env.blockWrites("peaks.json")
+	env.want("PUT", "/v1/peaks/friday", body, 503)
+	env.wantPeak("after a failed write", "friday", false)
+	env.want("PUT", "/v1/peaks/friday", body, 503)
+	unblock()
+	env.want("PUT", "/v1/peaks/friday", body, 201)
+	unblock = env.blockWrites("peaks.json")
+	env.want("DELETE", "/v1/peaks/friday", "", 503)
+	env.want("DELETE", "/v1/peaks/friday", "", 503)
+	unblock()
+	env.start()
+	env.deliver("clip")
+	env.wantPeak("after the restart", "friday", true)
+	unblock = env.blockWrites("told.json")
+	env.want("POST", "/v1/boxes/127.0.0.1:1/drain", "", 503)
+	if env.planner.monitor.operatorDrains["127.0.0.1:1"] {
+		t.Error("a drain that was answered 503 is in force")
+	}
+	unblock()
+	env.want("POST", "/v1/boxes/127.0.0.1:1/drain", "", 204)
+}
--- a/internal/planner/sources.go
+++ b/internal/planner/sources.go
@@ -64,7 +64,7 @@
 	state.boxes, state.boxesBySource, state.titleNames, state.lastOutcomes = map[string]registry.Box{},
 		map[string]map[string]registry.Box{}, map[string]bool{}, map[string]view.Outcome{}
 	if p.State != "" {
-		state.store = viewstore.Open(filepath.Join(p.State, "sources.view"))
+		state.store = viewstore.Open(filepath.Join(p.State, snapshotFile))
 		p.restoreSnapshot()
 	}
 	return nil
