Planner: names that the sources have not reported yet are answered 503, not 400 or 404

Need: a planner that has just started knows neither the titles nor the boxes of its catalogue. An announcement or an operator's drain that came in that moment was refused as the caller's fault, for good. Now it is 503 with Retry-After until a source has reported to this process. An unknown name is 400, an unknown box 404 afterwards, as before.

--- a/internal/planner/peaks.go
+++ b/internal/planner/peaks.go
@@ -59,6 +59,15 @@
 	return known
 }
 
+// notReadyError reports that a request names something that is not known while the sources of the fleet have not
+// reported yet: it may be known a moment later.
+type notReadyError struct{ cause error }
+
+func (e *notReadyError) Error() string {
+	return e.cause.Error() + " yet: the sources of the fleet have not reported"
+}
+func (e *notReadyError) Unwrap() error { return e.cause }
+
 // announce adds one announcement and stores all announcements on disk before it takes effect. It reports whether the
 // announcements changed.
 func (p *Planner) announce(a peaks.Announcement) (bool, error) {
@@ -76,7 +85,12 @@
 	p.mu.Lock()
 	next := p.peakState.announcements.Clone()
 	changed, err := change(next, time.Now().UnixMilli())
+	sourcesHeard := p.sourcesHeard()
 	p.mu.Unlock()
+	var invalid *peaks.FieldError
+	if errors.As(err, &invalid) && invalid.UnknownName && !sourcesHeard {
+		return false, &notReadyError{err}
+	}
 	if err != nil || !changed {
 		return false, err
 	}
@@ -173,9 +187,10 @@
 // succeed later.
 func writeChangeError(w http.ResponseWriter, err error) {
 	var notStored *storeError
+	var notReady *notReadyError
 	status := http.StatusBadRequest
 	switch {
-	case errors.As(err, &notStored):
+	case errors.As(err, &notStored) || errors.As(err, &notReady):
 		w.Header().Set("Retry-After", "1")
 		status = http.StatusServiceUnavailable
 	case errors.Is(err, errUnknownBox):
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -296,6 +296,8 @@
 		switch {
 		case p.monitor.boxes[id] != nil || p.monitor.operatorDrains[id]: // the drain of a box that has left may be ended
 			return nil
+		case !p.sourcesHeard():
+			return &notReadyError{errUnknownBox}
 		}
 		return errUnknownBox
 	}
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -124,6 +124,7 @@
 		env.planner.mu.Unlock()
 	}
 	check("before the sources have reported")
+	env.want("PUT", "/v1/peaks/other", peakBody("other", "unseen", time.Hour), 503) // may be known a moment later
 	env.deliver()
 	check("while the catalogue lacks the title")
 	env.want("PUT", "/v1/peaks/other", peakBody("other", "clip", time.Hour), 400)
--- a/internal/planner/sources.go
+++ b/internal/planner/sources.go
@@ -32,6 +32,7 @@
 	boxes          map[string]registry.Box // as the source in effect describes them
 	boxesBySource  map[string]map[string]registry.Box
 	statuses       []reconcile.Status
+	heard          bool            // a source has delivered a snapshot to this process
 	titleNames     map[string]bool // titles of the last snapshot that describes titles
 	lastFaults     string
 	lastOutcomes   map[string]view.Outcome // last reported counts, by edge instance and box
@@ -89,6 +90,10 @@
 	p.applySnapshot(snapshot, saved.WrittenAt.UnixMilli())
 }
 
+// sourcesHeard reports whether the planner knows the fleet from this process's own reading of the sources, and not only
+// from the site file and the snapshot on disk. p.mu is held.
+func (p *Planner) sourcesHeard() bool { return p.sourceState.reconciler == nil || p.sourceState.heard }
+
 // watchSources watches all sources, and reconciles them at each interval, until ctx ends.
 func (p *Planner) watchSources(ctx context.Context) {
 	if p.sourceState.reconciler == nil {
@@ -122,6 +127,7 @@
 func (p *Planner) handleSnapshot(snapshot registry.Snapshot) {
 	now := time.Now().UnixMilli()
 	p.mu.Lock()
+	p.sourceState.heard = true
 	p.applySnapshot(snapshot, now-snapshot.Age.Milliseconds())
 	p.reconcileSources(now)
 	save := p.sourceState.store != nil && p.sourceState.writtenVersion != snapshot.Version && len(snapshot.Boxes) > 0
