Announced peaks: a repeated announcement is recognized before its names and times are checked

Callers saw (by the test): a caller that missed the response to an accepted announcement and sent it again got 400 if its title was out of the catalogue at that moment, or the peak had begun to be past; it had to take the peak for refused. Cause: the check for a new announcement ran before the comparison with the stored version. TestAnnouncementRepeated failed before (400 twice instead of 204).

--- a/internal/peaks/announcements.go
+++ b/internal/peaks/announcements.go
@@ -163,9 +163,10 @@
 }
 
 // Announce stores an announcement, a change or a cancellation. changed is false if the version is not newer than the
-// stored one.
+// stored one; that does not depend on the time or on the names that are known, since the sender may only have missed
+// the response.
 func (s *AnnouncementStore) Announce(a Announcement, known KnownNames, now int64) (changed bool, err error) {
-	if err := a.Validate(known, now); err != nil {
+	if err := a.validateIdentity(); err != nil {
 		return false, err
 	}
 	previous, exists := s.byID[a.ID]
@@ -178,6 +179,9 @@
 		}
 		return false, nil
 	}
+	if err := a.Validate(known, now); err != nil {
+		return false, err
+	}
 	if !exists && len(s.byID) >= maxPeaks {
 		return false, newFieldError("id", "%d peaks are announced already", maxPeaks)
 	}
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -175,3 +175,15 @@
 	unblock()
 	env.want("POST", "/v1/boxes/127.0.0.1:1/drain", "", 204)
 }
+
+// Guards against an accepted announcement whose repetition is refused: the sender may have missed the response.
+func TestAnnouncementRepeated(t *testing.T) {
+	env := newRestartEnv(t, true)
+	env.deliver("clip")
+	body := peakBody("friday", "clip", -59_800*time.Millisecond)
+	env.want("PUT", "/v1/peaks/friday", body, 201)
+	env.deliver()
+	env.want("PUT", "/v1/peaks/friday", body, 204) // the title is not known at the moment
+	time.Sleep(250 * time.Millisecond)
+	env.want("PUT", "/v1/peaks/friday", body, 204) // the peak is past
+}
