--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -187,3 +187,24 @@
 	time.Sleep(250 * time.Millisecond)
 	env.want("PUT", "/v1/peaks/friday", body, 204) // the peak is past
 }
+
+// Guards against files of announcements that are rejected for good because a planner that has just started does not know
+// their titles, or because one of their peaks is past.
+func TestAnnouncementFilesAfterRestart(t *testing.T) {
+	env := newRestartEnv(t, true)
+	env.options.Announcements = t.TempDir()
+	env.start()
+	peaks := "{ peaks: [" + peakBody("past", "clip", -time.Hour) + "," + peakBody("friday", "clip", time.Hour) + "] }"
+	if err := os.WriteFile(filepath.Join(env.options.Announcements, "week.jsonnet"), []byte(peaks), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	env.planner.readAnnouncementFiles()
+	env.wantPeak("before the sources have reported", "friday", false)
+	env.deliver("clip")
+	unblock := env.blockWrites("peaks.json")
+	env.planner.readAnnouncementFiles()
+	env.wantPeak("while nothing can be stored", "friday", false)
+	unblock()
+	env.planner.readAnnouncementFiles()
+	env.wantPeak("once the title is known", "friday", true)
+}
