Planner: a damaged state file is set aside and the previous one used; an unreadable one ends it

Operators would see (by the tests): with a damaged told.json or peaks.json the planner started without the drains and announcements in it, and the next change overwrote the file. With a file that could not be read at all (EIO, EACCES) likewise, though it was whole on disk. Cause: any error of reading counted as "no file"; no earlier version was kept, and the rename was not synced. Now state files are replaced as the stored views are (viewstore.Replace: write, fsync, rename, the previous one kept, fsync of the folder). A file that cannot be decoded is renamed to .damaged and the previous one applies. A file that cannot be read ends the program with the reason: edges go on with their last view, and nothing is forgotten. The files' format is unchanged, so that older releases read them. TestDamagedState and TestUnreadableState failed before.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -38,7 +38,8 @@
 	Options
 	client *http1.Client
 
-	changeMu sync.Mutex // serializes changes that are stored in the state folder; locked before mu
+	changeMu   sync.Mutex // serializes changes that are stored in the state folder; locked before mu
+	stateError error      // why the state of an earlier process was not read; p does not run then
 
 	mu          sync.Mutex
 	monitor     *Monitor
@@ -82,6 +83,9 @@
 
 // Run serves the API and runs health checks, planning and copies until ctx ends.
 func (p *Planner) Run(ctx context.Context) error {
+	if p.stateError != nil {
+		return p.stateError
+	}
 	if p.Listener == nil {
 		var err error
 		if p.Listener, err = net.Listen("tcp", p.Site.Planner.Listen); err != nil {
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -208,3 +208,44 @@
 	env.planner.readAnnouncementFiles()
 	env.wantPeak("once the title is known", "friday", true)
 }
+
+// Guards against drains, titles and announcements that are forgotten because a file is damaged.
+func TestDamagedState(t *testing.T) {
+	env := newRestartEnv(t, false)
+	env.planner.monitor.Add(view.Box{ID: "127.0.0.1:1"})
+	env.want("POST", "/v1/boxes/127.0.0.1:1/drain", "", 204)
+	env.want("PUT", "/v1/titles/wide", `{"name":"wide","home":2,"span":1}`, 204)
+	env.want("PUT", "/v1/titles/narrow", `{"name":"narrow","home":0,"span":1}`, 204)
+	env.want("PUT", "/v1/peaks/a", peakBody("a", "wide", time.Hour), 201)
+	env.want("PUT", "/v1/peaks/b", peakBody("b", "wide", time.Hour), 201)
+	for _, name := range []string{"told.json", "peaks.json"} {
+		if err := os.WriteFile(filepath.Join(env.options.State, name), []byte(`[{"id":`), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 2 { // the second start reads what is left after the first one
+		env.start()
+		env.wantPeak("from the previous file", "a", true)
+		if _, known := env.planner.monitor.titles["wide"]; !known || !env.planner.monitor.operatorDrains["127.0.0.1:1"] {
+			t.Error("a title or a drain is lost although the previous file has it")
+		}
+	}
+	if _, err := os.Stat(filepath.Join(env.options.State, "told.json.damaged")); err != nil {
+		t.Errorf("the damaged file was not set aside: %v", err)
+	}
+}
+
+// Guards against a planner that runs without what it accepted because its state could not be read.
+func TestUnreadableState(t *testing.T) {
+	env := newRestartEnv(t, false)
+	if err := os.Mkdir(filepath.Join(env.options.State, "peaks.json"), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	env.start()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	env.options.Site.Planner.Listen = "127.0.0.1:0"
+	if err := env.planner.Run(ctx); err == nil {
+		t.Error("the planner runs although its state cannot be read")
+	}
+}
--- a/internal/viewstore/viewstore.go
+++ b/internal/viewstore/viewstore.go
@@ -32,34 +32,43 @@
 // Open returns the store at path. It neither reads nor creates a file.
 func Open(path string) *Store { return &Store{path} }
 
-func (s *Store) previousPath() string { return s.path + ".old" }
+func (s *Store) previousPath() string { return PreviousPath(s.path) }
 
 // Write stores body as the last view, written at now, and keeps the view before it as the previous one.
 func (s *Store) Write(body []byte, now time.Time) error {
 	header := fmt.Sprintf("%s %d %016x %d %d\n", magic, formatVersion, xxhash.Sum64(body), len(body), now.UnixMilli())
-	tmp := s.path + ".new"
+	if err := Replace(s.path, append([]byte(header), body...)); err != nil {
+		return fmt.Errorf("view store: %w", err)
+	}
+	return nil
+}
+
+// PreviousPath returns the path at which Replace keeps the file that path had before.
+func PreviousPath(path string) string { return path + ".old" }
+
+// Replace writes content to a new file, syncs it and renames it to path. A crash at any moment leaves the old or the new
+// content at path, or the old one at PreviousPath.
+func Replace(path string, content []byte) error {
+	tmp := path + ".new"
 	f, err := os.Create(tmp)
 	if err != nil {
-		return fmt.Errorf("view store: creating the new file: %w", err)
-	}
-	_, err = f.WriteString(header)
-	if err == nil {
-		_, err = f.Write(body)
+		return fmt.Errorf("creating the new file: %w", err)
 	}
+	_, err = f.Write(content)
 	err = errors.Join(err, f.Sync(), f.Close())
 	if err == nil {
-		if err = os.Rename(s.path, s.previousPath()); errors.Is(err, fs.ErrNotExist) {
+		if err = os.Rename(path, PreviousPath(path)); errors.Is(err, fs.ErrNotExist) {
 			err = nil
 		}
 	}
 	if err == nil {
-		err = os.Rename(tmp, s.path)
+		err = os.Rename(tmp, path)
 	}
 	if err == nil {
-		err = syncDir(filepath.Dir(s.path))
+		err = syncDir(filepath.Dir(path))
 	}
 	if err != nil {
-		return fmt.Errorf("view store: writing the view: %w", err)
+		return fmt.Errorf("writing %s: %w", path, err)
 	}
 	return nil
 }
