Planner: stored titles that do not fit the site for a while are kept

Operators would see (by the test): a title set through the API is lost for good if the planner starts once with a site file with fewer cells: it was dropped at the start, and the next change overwrote it on disk. Now all stored titles are kept; those that do not fit are named in the log and do not apply. TestDamagedStateAndNarrowSite (TestDamagedState before) failed before in this part.

--- a/internal/planner/overrides.go
+++ b/internal/planner/overrides.go
@@ -50,26 +50,25 @@
 	return t.HomeCell >= 0 && t.HomeCell < p.Site.Cells && t.CellSpan >= 0 && t.CellSpan <= p.Site.Cells
 }
 
-// loadOverrides restores the overrides that an earlier process stored. Titles in cells that the site no longer has are
-// dropped. A drain of a box that is not known is kept: the box may come from a source that is not read yet.
+// loadOverrides restores the overrides that an earlier process stored. All of them are kept, also those that do not
+// apply at the moment: the box of a drain may come from a source that is not read yet, and a title that does not fit the
+// site's cells fits again once the site file is corrected.
 func (p *Planner) loadOverrides() {
 	var saved overrides
 	if !p.loadState(overridesFile, &saved) {
 		return
 	}
+	p.overrides = saved.clone()
 	for _, id := range saved.Drains {
 		if !p.monitor.SetDrain(id, true) {
 			p.Log.Info("a stored drain applies once its box is known", "server", id)
 		}
-		p.overrides.Drains = append(p.overrides.Drains, id)
 	}
-	p.overrides.Titles = map[string]view.Title{}
 	for name, title := range saved.Titles {
 		if title.Name != name || !p.titleFits(title) {
-			p.Log.Warn("dropped a stored title: it does not fit the site's cells", "title", name)
+			p.Log.Warn("a stored title does not apply: it does not fit the site's cells", "title", name)
 			continue
 		}
 		p.monitor.SetTitle(title)
-		p.overrides.Titles[name] = title
 	}
 }
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -209,13 +209,23 @@
 	env.wantPeak("once the title is known", "friday", true)
 }
 
-// Guards against drains, titles and announcements that are forgotten because a file is damaged.
-func TestDamagedState(t *testing.T) {
+// Guards against drains, titles and announcements that are forgotten because a file is damaged, and against titles that
+// are dropped from the disk because they do not fit the site for a while.
+func TestDamagedStateAndNarrowSite(t *testing.T) {
 	env := newRestartEnv(t, false)
 	env.planner.monitor.Add(view.Box{ID: "127.0.0.1:1"})
 	env.want("POST", "/v1/boxes/127.0.0.1:1/drain", "", 204)
-	env.want("PUT", "/v1/titles/wide", `{"name":"wide","home":2,"span":1}`, 204)
+	env.want("PUT", "/v1/titles/wide", `{"name":"wide","home":2,"span":3}`, 204)
+	site := *env.options.Site
+	site.Cells = 1
+	env.options.Site = &site
+	env.start()
 	env.want("PUT", "/v1/titles/narrow", `{"name":"narrow","home":0,"span":1}`, 204)
+	site.Cells = 3
+	env.start()
+	if _, known := env.planner.monitor.titles["wide"]; !known {
+		t.Error("a title that did not fit the site for a while is lost")
+	}
 	env.want("PUT", "/v1/peaks/a", peakBody("a", "wide", time.Hour), 201)
 	env.want("PUT", "/v1/peaks/b", peakBody("b", "wide", time.Hour), 201)
 	for _, name := range []string{"told.json", "peaks.json"} {
