Announced peaks: a cancellation without a start is kept as long as the peak it cancels

Callers saw (by the test): a cancellation that was put with its id and version alone, which is valid, was forgotten at the next plan, since its start of 0 is long past; an older version of the announcement that came late then restored the cancelled peak. Cause: the time to forget an entry was derived from its own start. TestCancellationIsKept failed before (version 1 was accepted again).

--- a/internal/peaks/announcements.go
+++ b/internal/peaks/announcements.go
@@ -74,7 +74,7 @@
 		return err
 	}
 	if a.Cancelled {
-		return nil
+		return a.validateCancellation(now)
 	}
 	if err := a.validateValues(now); err != nil {
 		return err
@@ -94,6 +94,21 @@
 	return nil
 }
 
+// validateCancellation checks the fields of a cancellation, which may be left out.
+func (a *Announcement) validateCancellation(now int64) error {
+	switch {
+	case len(a.Titles) > maxTitles:
+		return newFieldError("titles", "%d: %d at most", len(a.Titles), maxTitles)
+	case a.Start < 0 || a.Start > now+maxLeadMs:
+		return newFieldError("start_ms", "%d: within a year", a.Start)
+	case a.Duration < 0 || a.Duration > maxDurationMs:
+		return newFieldError("length_ms", "%d: a day at most", a.Duration)
+	case a.Uncertainty < 0 || a.Uncertainty > maxUncertaintyMs:
+		return newFieldError("uncertain_ms", "%d: 0 to an hour", a.Uncertainty)
+	}
+	return nil
+}
+
 // validateValues checks the numbers and the list of titles.
 func (a *Announcement) validateValues(now int64) error {
 	switch {
@@ -186,22 +201,27 @@
 		return false, newFieldError("id", "%d peaks are announced already", maxPeaks)
 	}
 	a.Titles = slices.Clone(a.Titles)
-	s.byID[a.ID] = Record{Announcement: a, KeepUntil: a.keepUntil()}
+	s.byID[a.ID] = Record{Announcement: a, KeepUntil: max(previous.KeepUntil, a.keepUntil(now))}
 	return true, nil
 }
 
-// keepUntil returns when an announcement may be forgotten.
-func (a *Announcement) keepUntil() int64 { return a.end() + retentionMs }
+// keepUntil returns when an announcement accepted at now may be forgotten. A cancellation may come without a start.
+func (a *Announcement) keepUntil(now int64) int64 {
+	if a.Cancelled {
+		return max(a.end(), now) + retentionMs
+	}
+	return a.end() + retentionMs
+}
 
 // Restore adds the records that an earlier process stored, as they are: they were accepted then. A record that is not
 // newer than the one in the store is ignored.
-func (s *AnnouncementStore) Restore(records []Record) {
+func (s *AnnouncementStore) Restore(records []Record, now int64) {
 	for _, r := range records {
 		if previous, exists := s.byID[r.ID]; exists && previous.Version >= r.Version {
 			continue
 		}
 		if r.KeepUntil == 0 { // written by an earlier release
-			r.KeepUntil = r.keepUntil()
+			r.KeepUntil = r.keepUntil(now)
 		}
 		s.byID[r.ID] = r
 	}
--- a/internal/peaks/peaks_test.go
+++ b/internal/peaks/peaks_test.go
@@ -73,6 +73,31 @@
 	}
 }
 
+// Guards against a cancellation that is forgotten at once because it names no start, so that a late older version of the
+// announcement restores the peak.
+func TestCancellationIsKept(t *testing.T) {
+	store, a := NewAnnouncementStore(), testAnnouncement()
+	announce := func(a Announcement, at int64, want bool) {
+		t.Helper()
+		if changed, err := store.Announce(a, knownNames, at); changed != want || err != nil {
+			t.Errorf("version %d: %v %v, want %v", a.Version, changed, err, want)
+		}
+	}
+	announce(a, now, true)
+	announce(Announcement{ID: "p", Version: 3, Cancelled: true}, now, true)
+	store.RemoveExpired(now + 1000)
+	announce(a, now+1000, false)
+	if stored, _ := store.Get("p"); !stored.Cancelled || stored.Version != 3 {
+		t.Errorf("the cancellation is lost: %+v", stored)
+	}
+	if removed := store.RemoveExpired(now + 1000); len(removed) != 0 {
+		t.Errorf("forgotten: %+v", removed)
+	}
+	if removed := store.RemoveExpired(a.Start + a.Uncertainty + a.Duration + 24*3600*1000 + 1); len(removed) != 1 {
+		t.Errorf("forgotten a day after the peak: %+v, want it", removed)
+	}
+}
+
 // Forecasts of a peak that arrives as announced, early, late, larger, smaller, or never.
 func TestFollower(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/planner/peaks.go
+++ b/internal/planner/peaks.go
@@ -112,7 +112,7 @@
 	if !p.loadState(announcementsFile, &records) {
 		return
 	}
-	p.peakState.announcements.Restore(records)
+	p.peakState.announcements.Restore(records, time.Now().UnixMilli())
 	for _, a := range p.peakState.announcements.List() {
 		p.Log.Info("announcement restored", "id", a.ID, "version", a.Version, "cancelled", a.Cancelled)
 	}
