Planner: copies for a peak are decided again once more of its titles are known

Need: with announcements restored before their titles are known, the choice of copies may be made while a title is missing from the catalogue. It counted as decided, and the title got no copies for its peak unless more boxes came. Now the decision notes how many of the peak's titles were known and is made again when more are. TestDecisions has the case; without the comparison it fails.

--- a/internal/mapping/decisions.go
+++ b/internal/mapping/decisions.go
@@ -13,9 +13,15 @@
 }
 
 type decision struct {
-	version    uint64
-	copies     []Copy
-	readyBoxes int // number of boxes that accepted work at the time of the decision
+	Conditions
+	copies []Copy
+}
+
+// Conditions are those under which copies are decided.
+type Conditions struct {
+	Version     uint64 // of the announcement
+	ReadyBoxes  int    // boxes that accept work
+	KnownTitles int    // titles of the announcement that are known
 }
 
 // NewDecisions returns an empty Decisions.
@@ -32,18 +38,19 @@
 }
 
 // NeedsDecision reports whether the copies of a peak must be decided, or decided again. They are decided again also if
-// more boxes accept work than at the last decision, because a choice made while boxes were down may have found no copy.
-func (b *Decisions) NeedsDecision(peak string, version uint64, readyBoxes int, ready func(box string) bool) bool {
+// more boxes accept work, or more of the peak's titles are known, than at the last decision, because a choice made
+// without them may have found no copy.
+func (b *Decisions) NeedsDecision(peak string, now Conditions, ready func(box string) bool) bool {
 	d := b.byPeak[peak]
-	return d == nil || d.version != version || readyBoxes > d.readyBoxes ||
+	return d == nil || d.Version != now.Version || now.ReadyBoxes > d.ReadyBoxes || now.KnownTitles > d.KnownTitles ||
 		slices.ContainsFunc(d.copies, func(c Copy) bool { return !ready(c.Box) })
 }
 
-// Record stores a choice for a peak. Copies of the previous decision on boxes that still accept work are kept in
-// addition, because the choice was made with them as holders.
-func (b *Decisions) Record(peak string, version uint64, readyBoxes int, ready func(box string) bool, chosen []Copy) {
-	d := &decision{version: version, readyBoxes: readyBoxes}
-	if old := b.byPeak[peak]; old != nil && old.version == version {
+// Record stores a choice for a peak, made under the given conditions. Copies of the previous decision on boxes that
+// still accept work are kept in addition, because the choice was made with them as holders.
+func (b *Decisions) Record(peak string, at Conditions, ready func(box string) bool, chosen []Copy) {
+	d := &decision{Conditions: at}
+	if old := b.byPeak[peak]; old != nil && old.Version == at.Version {
 		for _, c := range old.copies {
 			if ready(c.Box) {
 				d.copies = append(d.copies, c)
--- a/internal/mapping/mapping_test.go
+++ b/internal/mapping/mapping_test.go
@@ -227,30 +227,34 @@
 	}
 }
 
-// A decision remains in effect until the announcement changes, a target stops accepting work or more boxes accept work.
+// A decision remains in effect until the announcement changes, a target stops accepting work, more boxes accept work or more of
+// the peak's titles are known.
 // Copies on boxes that still accept work are kept.
 func TestDecisions(t *testing.T) {
 	b, all := NewDecisions(), func(string) bool { return true }
-	if !b.NeedsDecision("p", 1, 4, all) {
+	if !b.NeedsDecision("p", Conditions{Version: 1, ReadyBoxes: 4, KnownTitles: 1}, all) {
 		t.Error("a new peak needs no decision")
 	}
-	b.Record("p", 1, 4, all, []Copy{{Peak: "p", Title: "t", Box: "b1"}, {Peak: "p", Title: "t", Box: "b2"},
+	b.Record("p", Conditions{Version: 1, ReadyBoxes: 4, KnownTitles: 1}, all, []Copy{{Peak: "p", Title: "t", Box: "b1"}, {Peak: "p", Title: "t", Box: "b2"},
 		{Peak: "q", Title: "t", Box: "b3"}})
-	if b.NeedsDecision("p", 1, 4, all) || !b.NeedsDecision("p", 2, 4, all) || len(b.Copies()) != 2 {
+	if b.NeedsDecision("p", Conditions{Version: 1, ReadyBoxes: 4, KnownTitles: 1}, all) || !b.NeedsDecision("p", Conditions{Version: 2, ReadyBoxes: 4, KnownTitles: 1}, all) || len(b.Copies()) != 2 {
 		t.Errorf("copies %v", b.Copies())
 	}
 	drained := func(id string) bool { return id != "b1" }
-	if !b.NeedsDecision("p", 1, 3, drained) {
+	if !b.NeedsDecision("p", Conditions{Version: 1, ReadyBoxes: 3, KnownTitles: 1}, drained) {
 		t.Error("no new decision although a target drains")
 	}
-	b.Record("p", 1, 3, drained, []Copy{{Peak: "p", Title: "t", Box: "b4"}})
+	b.Record("p", Conditions{Version: 1, ReadyBoxes: 3, KnownTitles: 1}, drained, []Copy{{Peak: "p", Title: "t", Box: "b4"}})
 	if got := b.Copies(); len(got) != 2 || got[0].Box != "b2" || got[1].Box != "b4" ||
-		b.NeedsDecision("p", 1, 3, drained) {
+		b.NeedsDecision("p", Conditions{Version: 1, ReadyBoxes: 3, KnownTitles: 1}, drained) {
 		t.Errorf("copies %v", got)
 	}
-	if !b.NeedsDecision("p", 1, 4, drained) {
+	if !b.NeedsDecision("p", Conditions{Version: 1, ReadyBoxes: 4, KnownTitles: 1}, drained) {
 		t.Error("no new decision although more boxes accept work")
 	}
+	if !b.NeedsDecision("p", Conditions{Version: 1, ReadyBoxes: 3, KnownTitles: 2}, drained) {
+		t.Error("no new decision although another title of the peak has become known")
+	}
 	b.Retain(func(string) bool { return false })
 	if len(b.Copies()) != 0 {
 		t.Error("copies of a peak that is over were kept")
--- a/internal/planner/copies.go
+++ b/internal/planner/copies.go
@@ -350,10 +350,12 @@
 		return p.monitor.boxes[id] != nil && p.monitor.boxes[id].effectiveState() == view.StateReady
 	}
 	var undecided []peaks.Announcement
+	conditions := map[string]mapping.Conditions{}
 	for _, a := range p.peakState.announcements.List() {
-		if p.needsCopies(&a, now) && p.copyState.decisions.NeedsDecision(a.ID, a.Version, readyCount, ready) &&
-			p.copyState.manager.AllReported() {
+		at := mapping.Conditions{Version: a.Version, ReadyBoxes: readyCount, KnownTitles: p.countKnownTitles(&a)}
+		if p.needsCopies(&a, now) && p.copyState.decisions.NeedsDecision(a.ID, at, ready) && p.copyState.manager.AllReported() {
 			undecided = append(undecided, a)
+			conditions[a.ID] = at
 		}
 	}
 	if len(undecided) == 0 {
@@ -379,7 +381,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, a := range undecided {
-		p.copyState.decisions.Record(a.ID, a.Version, readyCount, ready, choice.Copies)
+		p.copyState.decisions.Record(a.ID, conditions[a.ID], ready, choice.Copies)
 	}
 	p.copyState.lastChoice = choice
 	p.Log.Info("copies chosen", "hours", len(undecided), "copies", len(choice.Copies), "by", choice.Method,
@@ -387,6 +389,16 @@
 		"took", choice.Elapsed, "within_s", bounds.SecondsUntilPeak, "each_kb_s", bounds.CopyRate)
 }
 
+// countKnownTitles returns how many titles of a peak are known. p.mu is held.
+func (p *Planner) countKnownTitles(a *peaks.Announcement) (n int) {
+	for _, name := range a.Titles {
+		if _, known := p.monitor.titles[name]; known {
+			n++
+		}
+	}
+	return n
+}
+
 // copyDemand returns the expected demand for one title of a peak. The boxes of copies that are already decided count
 // as holders. The result is false where no demand is expected. p.mu is held.
 func (p *Planner) copyDemand(a *peaks.Announcement, name string, fleet *peaks.Fleet,
