Planner: the end of an operator's drain leaves a box's own drain in force

Seen by the test: a box that says in its checks that it drains was published as ready, for up to one check interval, when an operator's drain of it ended; edges may place sessions on it for that long. Cause: the monitor kept one state for both words, and ending the one assumed that the other was not given. Now the box's last word is kept by itself, and both are asked at each change. TestEndOfOperatorDrainKeepsOwnDrain failed before ("ready while the box says that it drains").

--- a/internal/planner/monitor.go
+++ b/internal/planner/monitor.go
@@ -38,6 +38,7 @@
 type boxState struct {
 	box           view.Box
 	answered      bool // has answered a check at least once
+	drains        bool // as its last answer says
 	missedChecks  int  // in a row
 	bootID        string
 	lastAnswerAt  time.Time  // last answer under that boot ID
@@ -87,10 +88,8 @@
 	if b == nil {
 		return false
 	}
-	if on && b.box.State == view.StateReady {
-		b.box.State = view.StateDraining
-	} else if !on && b.box.State == view.StateDraining {
-		b.box.State = view.StateReady // the next check sets Draining again if the box itself drains
+	if b.box.State != view.StateGone {
+		b.box.State = m.stateOfAnswering(b)
 	}
 	return true
 }
@@ -127,10 +126,16 @@
 		b.bootID = c.BootID
 	}
 	b.lastAnswerAt = c.AnsweredAt
-	b.box.State = view.StateReady
-	if c.Draining || m.operatorDrains[id] {
-		b.box.State = view.StateDraining
+	b.drains = c.Draining
+	b.box.State = m.stateOfAnswering(b)
+}
+
+// stateOfAnswering returns the state of a box that answers its checks: an operator and the box itself may each drain it.
+func (m *Monitor) stateOfAnswering(b *boxState) view.State {
+	if b.drains || m.operatorDrains[b.box.ID] {
+		return view.StateDraining
 	}
+	return view.StateReady
 }
 
 // startTime returns when a box's process started, by the planner's clock. The box's own clock may differ: if it is
--- a/internal/planner/monitor_test.go
+++ b/internal/planner/monitor_test.go
@@ -172,3 +172,22 @@
 		t.Errorf("%s after the drain has ended, want ready", state)
 	}
 }
+
+// Guards against a box that drains by its own word and is published as ready until its next check when an operator's
+// drain of it ends.
+func TestEndOfOperatorDrainKeepsOwnDrain(t *testing.T) {
+	monitor := NewMonitor(2, 1)
+	monitor.Add(view.Box{ID: "a"})
+	check := HealthCheck{Answered: true, Draining: true, BootID: "one", Started: time.UnixMilli(1)}
+	monitor.RecordCheck("a", check)
+	monitor.SetDrain("a", true)
+	monitor.SetDrain("a", false)
+	if v, _ := monitor.View(); v.Boxes[0].State != view.StateDraining {
+		t.Errorf("%s while the box says that it drains", v.Boxes[0].State)
+	}
+	check.Draining = false
+	monitor.RecordCheck("a", check)
+	if v, _ := monitor.View(); v.Boxes[0].State != view.StateReady {
+		t.Errorf("%s after the box has stopped draining", v.Boxes[0].State)
+	}
+}
