--- a/internal/registry/consul.go
+++ b/internal/registry/consul.go
@@ -112,7 +112,10 @@
 					return meta, nil, err
 				}
 				return meta, func() {
-					update(1, func() { snapshot.Titles, faults[1] = parseTitles(c.Site, c.Config.Titles, list) })
+					update(1, func() {
+						snapshot.Titles, faults[1] = parseTitles(c.Site, c.Config.Titles, list)
+						snapshot.Version++
+					})
 				}, nil
 			})
 		}()
--- a/internal/registry/consul_test.go
+++ b/internal/registry/consul_test.go
@@ -115,6 +115,22 @@
 	r.waitFor("removal of a box and a title", func(s Snapshot) bool { return len(s.Boxes) == 2 && len(s.Titles) == 0 })
 }
 
+// Guards against changes of titles that have the version of the snapshot before and are therefore not stored on disk.
+func TestTitleChangeHasNewVersion(t *testing.T) {
+	r := newFixture(t, nil)
+	r.watch()
+	r.waitFor("the title", func(s Snapshot) bool { return len(s.Boxes) == 3 && len(s.Titles) == 1 })
+	r.mu.Lock()
+	before := r.last.Version
+	r.mu.Unlock()
+	r.catalogue.Update(func(_ map[string]*standin.Service, k map[string]string) { k["clips/two"] = `{"home":1,"span":3}` })
+	changed := uint64(0)
+	r.waitFor("the second title", func(s Snapshot) bool { changed = s.Version; return len(s.Titles) == 2 })
+	if changed <= before {
+		t.Errorf("version %d after the change, %d before", changed, before)
+	}
+}
+
 // An invalid entry or key is left out and reported as a fault, without effect on the others.
 func TestInvalidEntries(t *testing.T) {
 	r := newFixture(t, nil)
