--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -48,7 +48,9 @@
 func (env *restartEnv) start() { env.planner = New(env.options) }
 
 // deliver passes a snapshot with three boxes and the given titles to the planner, as its source would.
-func (env *restartEnv) deliver(titles ...string) {
+func (env *restartEnv) deliver(titles ...string) { env.planner.handleSnapshot(env.snapshot(titles...)) }
+
+func (env *restartEnv) snapshot(titles ...string) registry.Snapshot {
 	snapshot := registry.Snapshot{Source: "catalogue", Version: uint64(time.Now().UnixNano()), Titles: []view.Title{}}
 	for i := range 3 {
 		id := fmt.Sprint("127.0.0.1:", 1+i)
@@ -58,7 +60,7 @@
 	for _, name := range titles {
 		snapshot.Titles = append(snapshot.Titles, view.Title{Name: name, CellSpan: 1, LengthMs: 60_000})
 	}
-	env.planner.handleSnapshot(snapshot)
+	return snapshot
 }
 
 // call sends a request to the planner's handlers.
@@ -259,3 +261,17 @@
 		t.Error("the planner runs although its state cannot be read")
 	}
 }
+
+// Guards against a snapshot of the sources that is never stored because one write failed.
+func TestSnapshotStoredAfterFailedWrite(t *testing.T) {
+	env := newRestartEnv(t, true)
+	snapshot := env.snapshot("clip")
+	unblock := env.blockWrites("sources.view")
+	env.planner.handleSnapshot(snapshot)
+	unblock()
+	env.planner.handleSnapshot(snapshot)
+	env.start()
+	if _, known := env.planner.monitor.titles["clip"]; !known {
+		t.Error("the restarted planner does not know the title")
+	}
+}
--- a/internal/planner/sources.go
+++ b/internal/planner/sources.go
@@ -37,7 +37,7 @@
 	lastFaults     string
 	lastOutcomes   map[string]view.Outcome // last reported counts, by edge instance and box
 	store          *viewstore.Store
-	writtenVersion uint64
+	storedVersion  uint64 // of the snapshot on disk; guarded by Planner.changeMu
 }
 
 // openSources makes the reconciler for the sources in their order of preference, followed by the snapshot on disk.
@@ -123,26 +123,38 @@
 }
 
 // handleSnapshot applies a snapshot, reconciles at once so that a drain does not wait for the next interval, and
-// stores the snapshot on disk if its version is new and it has boxes.
+// stores the snapshot on disk.
 func (p *Planner) handleSnapshot(snapshot registry.Snapshot) {
 	now := time.Now().UnixMilli()
 	p.mu.Lock()
 	p.sourceState.heard = true
 	p.applySnapshot(snapshot, now-snapshot.Age.Milliseconds())
 	p.reconcileSources(now)
-	save := p.sourceState.store != nil && p.sourceState.writtenVersion != snapshot.Version && len(snapshot.Boxes) > 0
-	p.sourceState.writtenVersion = snapshot.Version
 	p.mu.Unlock()
-	if !save {
-		return
+	if err := p.storeSnapshot(snapshot); err != nil {
+		p.Log.Error("storing the snapshot of sources failed; the next one is stored", "error", err)
+	}
+}
+
+// storeSnapshot stores a snapshot on disk if its version is not stored yet and it has boxes.
+func (p *Planner) storeSnapshot(snapshot registry.Snapshot) error {
+	state := &p.sourceState
+	if state.store == nil || len(snapshot.Boxes) == 0 {
+		return nil
+	}
+	p.changeMu.Lock()
+	defer p.changeMu.Unlock()
+	if state.storedVersion == snapshot.Version {
+		return nil
 	}
 	body, err := json.Marshal(snapshot)
 	if err == nil {
-		err = p.sourceState.store.Write(body, time.Now())
+		err = state.store.Write(body, time.Now())
 	}
-	if err != nil {
-		p.Log.Error("storing the snapshot of sources failed", "error", err)
+	if err == nil {
+		state.storedVersion = snapshot.Version
 	}
+	return err
 }
 
 // applySnapshot passes a snapshot received at a time to the reconciler. p.mu is held, or p does not run yet.
