--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -275,3 +275,27 @@
 		t.Error("the restarted planner does not know the title")
 	}
 }
+
+// Guards against a drain in the stored snapshot that is never withdrawn after a restart, although its source has
+// withdrawn it.
+func TestDrainOfStoredSnapshotIsWithdrawn(t *testing.T) {
+	env := newRestartEnv(t, true)
+	snapshot := env.snapshot("clip")
+	snapshot.Boxes[0].Drain = true
+	env.planner.handleSnapshot(snapshot)
+	state := func() view.State { return env.planner.monitor.boxes[snapshot.Boxes[0].ID].reportedState }
+	env.start()
+	env.planner.reconcileSources(time.Now().UnixMilli())
+	if got := state(); got != view.StateDraining {
+		t.Errorf("%s before the source has reported, want draining", got)
+	}
+	env.planner.handleSnapshot(snapshot)
+	if got := state(); got != view.StateDraining {
+		t.Errorf("%s while the source reports the drain, want draining", got)
+	}
+	env.start()
+	env.deliver("clip")
+	if got := state(); got != view.StateReady {
+		t.Errorf("%s after the source has withdrawn the drain, want ready", got)
+	}
+}
--- a/internal/planner/sources.go
+++ b/internal/planner/sources.go
@@ -27,17 +27,18 @@
 // sourceState is the planner's state of registry sources; guarded by Planner.mu. reconciler is nil where only the
 // site file describes the fleet.
 type sourceState struct {
-	reconciler     *reconcile.Reconciler
-	sources        []registry.Source
-	boxes          map[string]registry.Box // as the source in effect describes them
-	boxesBySource  map[string]map[string]registry.Box
-	statuses       []reconcile.Status
-	heard          bool            // a source has delivered a snapshot to this process
-	titleNames     map[string]bool // titles of the last snapshot that describes titles
-	lastFaults     string
-	lastOutcomes   map[string]view.Outcome // last reported counts, by edge instance and box
-	store          *viewstore.Store
-	storedVersion  uint64 // of the snapshot on disk; guarded by Planner.changeMu
+	reconciler    *reconcile.Reconciler
+	sources       []registry.Source
+	boxes         map[string]registry.Box // as the source in effect describes them
+	boxesBySource map[string]map[string]registry.Box
+	statuses      []reconcile.Status
+	heard         bool            // a source has delivered a snapshot to this process
+	titleNames    map[string]bool // titles of the last snapshot that describes titles
+	restoredFrom  string          // the source of the snapshot on disk; "": there was none
+	lastFaults    string
+	lastOutcomes  map[string]view.Outcome // last reported counts, by edge instance and box
+	store         *viewstore.Store
+	storedVersion uint64 // of the snapshot on disk; guarded by Planner.changeMu
 }
 
 // openSources makes the reconciler for the sources in their order of preference, followed by the snapshot on disk.
@@ -86,6 +87,7 @@
 	}
 	p.Log.Info("started from the stored snapshot of sources", "file", saved.Path,
 		"age", time.Since(saved.WrittenAt).Round(time.Second), "boxes", len(snapshot.Boxes))
+	p.sourceState.restoredFrom = snapshot.Source
 	snapshot.Source = diskSource
 	p.applySnapshot(snapshot, saved.WrittenAt.UnixMilli())
 }
@@ -128,6 +130,9 @@
 	now := time.Now().UnixMilli()
 	p.mu.Lock()
 	p.sourceState.heard = true
+	if snapshot.Source == p.sourceState.restoredFrom { // the snapshot on disk is an earlier list of this source
+		p.sourceState.reconciler.WithdrawDrains(diskSource)
+	}
 	p.applySnapshot(snapshot, now-snapshot.Age.Milliseconds())
 	p.reconcileSources(now)
 	p.mu.Unlock()
--- a/internal/reconcile/reconcile.go
+++ b/internal/reconcile/reconcile.go
@@ -174,6 +174,13 @@
 	return nil
 }
 
+// WithdrawDrains withdraws all drains that a source reported: a later list speaks for it.
+func (r *Reconciler) WithdrawDrains(name string) {
+	if s := r.source(name); s != nil {
+		clear(s.drainedSince)
+	}
+}
+
 // recordHealth updates a box's health and records when it changes.
 func (r *Reconciler) recordHealth(e Entry, now int64) {
 	history := r.history(e.ID)
