Planner: SIGHUP without a box that had left the catalogue is no panic

Cause: reload ended the box's health checks without asking whether there are any; they had ended when the box was forgotten. One function ends a box's checks now, for reload and for sources, and asks.

--- a/internal/planner/reload.go
+++ b/internal/planner/reload.go
@@ -31,6 +31,15 @@
 	go func() { defer p.healthChecks.wg.Done(); p.runHealthChecks(ctx, addr, number) }()
 }
 
+// stopHealthChecks ends the checks of a box, if there are any. p.mu is held.
+func (p *Planner) stopHealthChecks(addr string) {
+	if p.healthChecks == nil || p.healthChecks.cancelByBox[addr] == nil {
+		return
+	}
+	p.healthChecks.cancelByBox[addr]()
+	delete(p.healthChecks.cancelByBox, addr)
+}
+
 // Reload applies the boxes and titles of a changed site file. Overrides that operators set through the API take
 // precedence over the file. All other settings are fixed when the planner starts; changes of them are logged as
 // needing a restart.
@@ -56,8 +65,7 @@
 		}
 	}
 	for addr := range old {
-		p.healthChecks.cancelByBox[addr]()
-		delete(p.healthChecks.cancelByBox, addr)
+		p.stopHealthChecks(addr)
 		p.monitor.Remove(addr)
 	}
 	p.applySiteTitles(site.Titles)
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -95,6 +96,34 @@
 	}
 }
 
+// runHealthChecks lets the planner start health checks, as Run does, until the test ends. Nothing answers them.
+func (env *restartEnv) runHealthChecks() {
+	ctx, cancel := context.WithCancel(env.t.Context())
+	p := env.planner
+	p.healthChecks = &healthChecks{ctx: ctx, wg: &p.wg, cancelByBox: map[string]context.CancelFunc{}}
+	env.t.Cleanup(func() { cancel(); p.wg.Wait() })
+}
+
+// forget lets a catalogue deliver a list without a box for longer than such a box is remembered.
+func (env *restartEnv) forget(id string) {
+	snapshot := env.snapshot()
+	snapshot.Boxes = slices.DeleteFunc(snapshot.Boxes, func(b registry.Box) bool { return b.ID == id })
+	env.planner.mu.Lock()
+	defer env.planner.mu.Unlock()
+	for at := time.Now(); time.Until(at) < time.Minute; at = at.Add(time.Second) {
+		env.planner.applySnapshot(snapshot, at.UnixMilli())
+		env.planner.reconcileSources(at.UnixMilli())
+	}
+}
+
+// siteBoxes returns the site's description of the boxes that snapshot lists.
+func (env *restartEnv) siteBoxes() (list []config.Box) {
+	for _, b := range env.snapshot().Boxes {
+		list = append(list, config.Box{Addr: b.ID, Zone: b.Zone, Kind: b.Kind, Cell: b.Cell, Weight: b.Weight})
+	}
+	return list
+}
+
 // blockWrites makes writes to the state folder fail until the returned function is called.
 func (env *restartEnv) blockWrites(name string) (unblock func()) {
 	obstacle := filepath.Join(env.options.State, name+".new")
@@ -299,3 +328,24 @@
 		t.Errorf("%s after the source has withdrawn the drain, want ready", got)
 	}
 }
+
+// Guards against a planner that panics when a box is taken out of the site file that has left the catalogue before.
+func TestReloadWithoutBoxThatLeftCatalogue(t *testing.T) {
+	env := newRestartEnv(t, true)
+	site := *env.options.Site
+	site.Boxes = env.siteBoxes()
+	site.Planner = config.Planner{CheckEvery: config.Duration(time.Minute), CheckFor: config.Duration(time.Second), GoneAfter: 2}
+	env.options.Site = &site
+	env.start()
+	env.runHealthChecks()
+	env.deliver()
+	env.forget("127.0.0.1:1")
+	reloaded := site
+	reloaded.Boxes = site.Boxes[1:]
+	env.planner.Reload(&reloaded)
+	env.planner.mu.Lock()
+	defer env.planner.mu.Unlock()
+	if env.planner.monitor.boxes["127.0.0.1:1"] != nil || env.planner.monitor.boxes["127.0.0.1:2"] == nil {
+		t.Error("the planner has a box that left, or lacks one that stayed")
+	}
+}
--- a/internal/planner/sources.go
+++ b/internal/planner/sources.go
@@ -243,10 +243,7 @@
 	for id := range state.boxes {
 		if !present[id] {
 			delete(state.boxes, id)
-			if p.healthChecks != nil && p.healthChecks.cancelByBox[id] != nil {
-				p.healthChecks.cancelByBox[id]()
-				delete(p.healthChecks.cancelByBox, id)
-			}
+			p.stopHealthChecks(id)
 			p.monitor.Remove(id)
 		}
 	}
