Planner: boxes come from the sources alone where there are any, at start and at SIGHUP

Cause: the planner added the site file's boxes to its monitor also where sources describe the fleet. A box that no source has reported to this process is limited by nothing but its health checks. Now the site file's boxes are the fleet only where there is no source.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -62,9 +62,6 @@
 	p := &Planner{Options: o, monitor: NewMonitor(o.Site.Planner.GoneAfter, uint64(time.Now().UnixMilli())),
 		updated: make(chan struct{}),
 		client:  &http1.Client{Limits: http1.DefaultLimits(), ConnectTimeout: o.Site.Planner.CheckFor.Std()}}
-	for _, b := range o.Site.Boxes {
-		p.monitor.Add(p.siteBox(b))
-	}
 	for _, t := range o.Site.Titles {
 		p.monitor.SetTitle(siteTitle(t))
 	}
@@ -78,6 +75,9 @@
 	if err := p.openSources(); err != nil {
 		p.Log.Error("opening the sources failed; using the site file alone", "error", err)
 	}
+	for _, b := range p.fleetBoxes(o.Site) {
+		p.monitor.Add(p.siteBox(b))
+	}
 	return p
 }
 
@@ -95,7 +95,7 @@
 	wg := &p.wg
 	p.mu.Lock()
 	p.healthChecks = &healthChecks{ctx: ctx, wg: wg, cancelByBox: map[string]context.CancelFunc{}}
-	for i, b := range p.Site.Boxes {
+	for i, b := range p.fleetBoxes(p.Site) {
 		p.startHealthChecks(b.Addr, i)
 	}
 	p.mu.Unlock()
--- a/internal/planner/reload.go
+++ b/internal/planner/reload.go
@@ -23,6 +23,15 @@
 	return view.Title{Name: t.Name, HomeCell: t.Home, CellSpan: t.Span, LengthMs: t.Length.Std().Milliseconds()}
 }
 
+// fleetBoxes returns the boxes of a site file that are part of the fleet: none where sources describe the fleet. A site
+// file lists them there for the programs that read no source, and such a box may have left the catalogue long ago.
+func (p *Planner) fleetBoxes(site *config.Site) []config.Box {
+	if p.sourceState.reconciler != nil {
+		return nil
+	}
+	return site.Boxes
+}
+
 // startHealthChecks starts the goroutine that checks a box. p.mu is held.
 func (p *Planner) startHealthChecks(addr string, number int) {
 	ctx, cancel := context.WithCancel(p.healthChecks.ctx)
@@ -40,8 +49,8 @@
 	delete(p.healthChecks.cancelByBox, addr)
 }
 
-// Reload applies the boxes and titles of a changed site file. Overrides that operators set through the API take
-// precedence over the file. All other settings are fixed when the planner starts; changes of them are logged as
+// Reload applies the boxes and titles of a changed site file; where sources describe the fleet, its boxes do not count.
+// Overrides that operators set through the API take precedence over the file. All other settings are fixed when the planner starts; changes of them are logged as
 // needing a restart.
 func (p *Planner) Reload(site *config.Site) {
 	p.mu.Lock()
@@ -50,10 +59,10 @@
 		return
 	}
 	old := map[string]config.Box{}
-	for _, b := range p.currentSite.Boxes {
+	for _, b := range p.fleetBoxes(p.currentSite) {
 		old[b.Addr] = b
 	}
-	for i, b := range site.Boxes {
+	for i, b := range p.fleetBoxes(site) {
 		previous, known := old[b.Addr]
 		delete(old, b.Addr)
 		if known && previous == b {
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -349,3 +349,40 @@
 		t.Error("the planner has a box that left, or lacks one that stayed")
 	}
 }
+
+// Guards against a restarted planner that publishes a box of the site file that has left the catalogue, and against a
+// reload that takes a box of the catalogue away.
+func TestBoxThatLeftCatalogueStaysAway(t *testing.T) {
+	env := newRestartEnv(t, true)
+	site := *env.options.Site
+	site.Boxes = env.siteBoxes()
+	site.Planner = config.Planner{CheckEvery: config.Duration(time.Minute), CheckFor: config.Duration(time.Second), GoneAfter: 2}
+	env.options.Site = &site
+	env.start()
+	env.deliver()
+	env.forget("127.0.0.1:1")
+	env.start()
+	env.runHealthChecks()
+	snapshot := env.snapshot()
+	snapshot.Boxes = snapshot.Boxes[1:]
+	env.planner.handleSnapshot(snapshot)
+	check := func(when string) {
+		t.Helper()
+		env.planner.mu.Lock()
+		defer env.planner.mu.Unlock()
+		for _, b := range site.Boxes {
+			env.planner.monitor.RecordCheck(b.Addr, HealthCheck{Answered: true, BootID: "one", Started: time.UnixMilli(1)})
+		}
+		v, _ := env.planner.monitor.View()
+		if len(v.Boxes) != 2 || v.Boxes[0].ID != "127.0.0.1:2" {
+			t.Errorf("%s: boxes %+v, want the two that the catalogue lists", when, v.Boxes)
+		}
+	}
+	check("after the restart")
+	reloaded := site
+	reloaded.Boxes = site.Boxes[:1]
+	env.planner.Reload(&reloaded)
+	check("after a reload without the boxes")
+	env.planner.Reload(&site)
+	check("after a reload with all boxes")
+}
