Copies: the last copies of a title are dropped only after its removal and a grace period

Cause, first part: the manager of copies took "not known" for "removed". It withdrew and dropped all copies of a title that it does not know, which is also a title that lies on boxes before the catalogue names it, and kept the least number of copies only while it knows the title. Now dropping the last copies needs a removal that was told, copies.removal_grace ago (10 min by default); a title that is set again within it keeps its copies. Incomplete copies of unknown titles are left alone, too.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -162,15 +162,17 @@
 
 // Copies configures how the planner manages which boxes hold which titles.
 type Copies struct {
-	Managed  bool     `json:"managed"`  // false: titles are on the boxes of their cells, and boxes are not queried
-	Least    int      `json:"least"`    // complete copies that each title keeps at least
-	AtOnce   int      `json:"at_once"`  // concurrent copies of a box in each direction
-	Share    float64  `json:"share"`    // share of the link capacity unused by viewers that copying may take
-	Most     int      `json:"most"`     // copies of one title that may be added for a peak
-	Grace    Duration `json:"grace"`    // from the notice that a box is no longer a holder to the deletion of its copy
-	Patience Duration `json:"patience"` // time without progress after which another source is tried
-	Backoff  Duration `json:"backoff"`  // delay after a failure
-	Ahead    Duration `json:"ahead"`    // longest time before a peak at which copies for it may begin
+	Managed bool     `json:"managed"` // false: titles are on the boxes of their cells, and boxes are not queried
+	Least   int      `json:"least"`   // complete copies that each title keeps at least
+	AtOnce  int      `json:"at_once"` // concurrent copies of a box in each direction
+	Share   float64  `json:"share"`   // share of the link capacity unused by viewers that copying may take
+	Most    int      `json:"most"`    // copies of one title that may be added for a peak
+	Grace   Duration `json:"grace"`   // from the notice that a box is no longer a holder to the deletion of its copy
+	// RemovalGrace is the time from the removal of a title to the withdrawal of its last copies.
+	RemovalGrace Duration `json:"removal_grace"`
+	Patience     Duration `json:"patience"` // time without progress after which another source is tried
+	Backoff      Duration `json:"backoff"`  // delay after a failure
+	Ahead        Duration `json:"ahead"`    // longest time before a peak at which copies for it may begin
 }
 
 // Title is a clip or programme and its location: Span consecutive cells from Home.
@@ -229,7 +231,7 @@
 		Notes: Notes{Reports: "answers"},
 		Consul: Consul{Scheme: "http", Service: "clip-box", Consistency: "default",
 			Wait: Duration(30 * time.Second), TTL: Duration(15 * time.Second)},
-		Copies: Copies{Least: 3, AtOnce: 1, Share: 0.5, Most: 64, Grace: Duration(10 * time.Second),
+		Copies: Copies{Least: 3, AtOnce: 1, Share: 0.5, Most: 64, Grace: Duration(10 * time.Second), RemovalGrace: Duration(10 * time.Minute),
 			Patience: Duration(10 * time.Second), Backoff: Duration(2 * time.Second), Ahead: Duration(30 * time.Minute)},
 		Planner: Planner{CheckEvery: Duration(250 * time.Millisecond), CheckFor: Duration(500 * time.Millisecond),
 			GoneAfter: 3},
@@ -450,6 +452,7 @@
 	v.require(k.Share > 0 && k.Share <= 1, "copies.share", "%v must be above 0 and at most 1", k.Share)
 	v.require(k.Grace >= s.Rules.DrainGrace, "copies.grace",
 		"must be at least rules.drain_grace, during which set-ups for the copy may still arrive")
+	v.require(k.RemovalGrace >= 0, "copies.removal_grace", "must not be negative")
 	v.require(k.Patience > 0 && k.Backoff > 0 && k.Ahead >= 0, "copies",
 		"patience and backoff must be above 0, and ahead must not be negative")
 }
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -4,7 +4,8 @@
 //
 // Invariants: an incomplete copy is never published. A copy is never dropped if that leaves the title with fewer than
 // MinCopies, while a session plays it on that box, or less than DropGrace after it was withdrawn from the holders
-// that edges receive.
+// that edges receive. The last copies of a title are dropped only if the title was removed, RemovalGrace ago or longer;
+// that a title is not known is no reason.
 package copies
 
 import (
@@ -20,6 +21,7 @@
 	MaxConcurrent   int           // copies that a box may receive, and may serve as a source, at once
 	LinkShare       float64       // share of a box's link that copying may use
 	DropGrace       time.Duration // from withdrawal to drop: lists arrive late, and set-ups are in flight
+	RemovalGrace    time.Duration // from the removal of a title to the withdrawal of its copies
 	ProgressTimeout time.Duration // without progress for this long, another source is tried
 	Backoff         time.Duration // delay after a failure; doubles with each failure, up to 16 times this
 }
@@ -109,6 +111,7 @@
 	Config
 	boxes       map[string]*boxState
 	titles      map[string]*Title
+	removedAt   map[string]int64 // when a title was removed, by name
 	extraCopies map[Key]bool
 	jobs        map[Key]*copyJob
 	withdrawnAt map[Key]int64 // time at which the copy was withdrawn from the holders
@@ -119,17 +122,31 @@
 // New returns a Manager without boxes and titles.
 func New(config Config) *Manager {
 	return &Manager{Config: config, boxes: map[string]*boxState{}, titles: map[string]*Title{},
-		extraCopies: map[Key]bool{}, jobs: map[Key]*copyJob{}, withdrawnAt: map[Key]int64{}, dropSentAt: map[Key]int64{}}
+		removedAt: map[string]int64{}, extraCopies: map[Key]bool{}, jobs: map[Key]*copyJob{},
+		withdrawnAt: map[Key]int64{}, dropSentAt: map[Key]int64{}}
 }
 
 // SetTitle adds or replaces a title.
 func (m *Manager) SetTitle(t Title) {
 	t.PermanentBoxes = slices.Clone(t.PermanentBoxes)
 	m.titles[t.Name] = &t
+	delete(m.removedAt, t.Name)
 }
 
-// RemoveTitle removes a title. Its copies are withdrawn and then dropped.
-func (m *Manager) RemoveTitle(name string) { delete(m.titles, name) }
+// RemoveTitle removes a title. Its copies are no longer published; after RemovalGrace they are withdrawn and then
+// dropped, unless the title is set again.
+func (m *Manager) RemoveTitle(name string, now int64) {
+	delete(m.titles, name)
+	if _, removed := m.removedAt[name]; !removed {
+		m.removedAt[name] = now
+	}
+}
+
+// isRemoved reports whether a title was removed and its copies may be dropped.
+func (m *Manager) isRemoved(name string, now int64) bool {
+	at, removed := m.removedAt[name]
+	return removed && now-at >= m.RemovalGrace.Milliseconds()
+}
 
 // SetBoxes replaces the list of boxes. A box that is not listed is removed together with its inventory, because it
 // may return without its copies.
@@ -309,8 +326,8 @@
 			m.withdrawnAt[k] = now
 		}
 	}
-	for _, k := range m.reportedKeys() { // copies of removed titles
-		if _, withdrawn := m.withdrawnAt[k]; !withdrawn && m.titles[k.Title] == nil && m.isComplete(k) {
+	for _, k := range m.reportedKeys() {
+		if _, withdrawn := m.withdrawnAt[k]; !withdrawn && m.isRemoved(k.Title, now) && m.isComplete(k) {
 			m.withdrawnAt[k] = now
 		}
 	}
@@ -342,6 +359,8 @@
 		}
 		since, withdrawn := m.withdrawnAt[k]
 		switch {
+		case m.titles[k.Title] == nil && !m.isRemoved(k.Title, now):
+			continue
 		case c.Complete && (!withdrawn || now-since < m.DropGrace.Milliseconds() || c.Sessions > 0):
 			continue
 		case c.Complete && m.titles[k.Title] != nil && m.countReadyHolders(k.Title, k.Box) < m.MinCopies:
--- a/internal/planner/copies.go
+++ b/internal/planner/copies.go
@@ -47,8 +47,9 @@
 		titleSizes: map[string]float64{}}
 	if settings.Managed {
 		state.manager = copies.New(copies.Config{MinCopies: settings.Least, MaxConcurrent: settings.AtOnce,
-			LinkShare: settings.Share, DropGrace: settings.Grace.Std(), ProgressTimeout: settings.Patience.Std(),
-			Backoff: settings.Backoff.Std()})
+			LinkShare: settings.Share, DropGrace: settings.Grace.Std(), RemovalGrace: settings.RemovalGrace.Std(),
+			ProgressTimeout: settings.Patience.Std(),
+			Backoff:         settings.Backoff.Std()})
 	}
 	return state
 }
@@ -141,7 +142,7 @@
 	}
 	t, ok := p.monitor.titles[name]
 	if !ok {
-		manager.RemoveTitle(name)
+		manager.RemoveTitle(name, time.Now().UnixMilli())
 		return
 	}
 	manager.SetTitle(copies.Title{Name: name, Size: p.copyState.titleSizes[name], PermanentBoxes: p.baseBoxes(t)})
