Titles: an entry that cannot be read removes nothing, and mass removals are held

Cause, second part: an entry that could not be read was left out of the list, and the planner could not tell it from one that was removed. Nor an empty answer of the key-value store from a catalogue without titles; and a title taken out of the site file at SIGHUP left also while the catalogue named it. Now internal/titles (no I/O) decides which titles are in force: an unreadable entry keeps the last valid one, through a restart too; a list that lacks over half of the titles, or all, is held, reported (log, gauges, `rainpulley titles`) and carried out only if an operator accepts, which is stored first; each source speaks for its own titles.

--- a/cmd/rainpulley/main.go
+++ b/cmd/rainpulley/main.go
@@ -32,6 +32,7 @@
 	Config  configCmd   `cmd:"" help:"Configuration."`
 	Peak    peakCmd     `cmd:"" help:"Announce peaks to a planner, list and cancel them."`
 	Boxes   boxesCmd    `cmd:"" help:"List a planner's boxes with their state, its source, its age and the reason."`
+	Titles  titlesCmd   `cmd:"" help:"List a planner's titles with their source and the faults of its entries, or accept removals that are held."`
 	Standin standinCmd  `cmd:"" help:"Run the stand-in boxes of a site."`
 	Edge    cli.Edge    `cmd:"" help:"Run an edge, as rainpulley-edge does."`
 	Planner cli.Planner `cmd:"" help:"Run a planner, as rainpulley-planner does."`
--- a/internal/planner/metrics.go
+++ b/internal/planner/metrics.go
@@ -20,6 +20,15 @@
 		return float64(p.published.Version)
 	})
 	gauge("titles", "Titles of the view.", nil, func() float64 { return float64(len(p.published.Titles)) })
+	gauge("titles_invalid", "Titles whose entry cannot be read; the last valid one is in force.", nil, func() float64 {
+		invalid, _ := p.catalogue.Faults()
+		return float64(invalid)
+	})
+	gauge("titles_removal_held", "Titles whose removal is held, since a list lacks most titles at once.", nil,
+		func() float64 {
+			_, held := p.catalogue.Faults()
+			return float64(held)
+		})
 	for _, state := range []view.State{view.StateReady, view.StateDraining} {
 		gauge("boxes", "Boxes of the view by state.", prometheus.Labels{"state": string(state)}, func() (n float64) {
 			for _, b := range p.published.Boxes {
--- a/internal/planner/overrides.go
+++ b/internal/planner/overrides.go
@@ -69,6 +69,6 @@
 			p.Log.Warn("a stored title does not apply: it does not fit the site's cells", "title", name)
 			continue
 		}
-		p.monitor.SetTitle(title)
+		p.catalogue.SetOverride(title)
 	}
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -18,6 +18,7 @@
 	"rainpulley/internal/http1"
 	"rainpulley/internal/registry"
 	"rainpulley/internal/timeconv"
+	"rainpulley/internal/titles"
 	"rainpulley/internal/view"
 )
 
@@ -47,6 +48,7 @@
 	updated     chan struct{} // closed and replaced at each change of the view or the holds
 	peakState   peakState
 	overrides   overrides
+	catalogue   *titles.Catalogue
 	copyState   copyState
 	sourceState sourceState
 	wg          sync.WaitGroup
@@ -62,23 +64,28 @@
 	p := &Planner{Options: o, monitor: NewMonitor(o.Site.Planner.GoneAfter, uint64(time.Now().UnixMilli())),
 		updated: make(chan struct{}),
 		client:  &http1.Client{Limits: http1.DefaultLimits(), ConnectTimeout: o.Site.Planner.CheckFor.Std()}}
-	for _, t := range o.Site.Titles {
-		p.monitor.SetTitle(siteTitle(t))
-	}
 	p.peakState, p.currentSite = newPeakState(), o.Site
 	p.epoch, p.copyState = uint64(time.Now().UnixMilli()), p.newCopyState()
-	p.loadOverrides()
-	p.loadAnnouncements()
-	for name := range p.monitor.titles {
-		p.updateManagerTitle(name)
-	}
 	if err := p.openSources(); err != nil {
 		p.Log.Error("opening the sources failed; using the site file alone", "error", err)
 	}
-	for _, b := range p.fleetBoxes(o.Site) {
+	p.restore()
+	return p
+}
+
+// restore takes up what earlier processes accepted and what the site file says, before anything is published: first the
+// words of operators and callers, then the last snapshot of the sources, then the site file.
+func (p *Planner) restore() {
+	now := time.Now().UnixMilli()
+	p.catalogue = titles.New(p.titleSources()...)
+	p.loadOverrides()
+	p.loadAnnouncements()
+	p.restoreSnapshot()
+	for _, b := range p.fleetBoxes(p.Site) {
 		p.monitor.Add(p.siteBox(b))
 	}
-	return p
+	p.updateTitleList(siteSource, siteTitles(p.Site), now)
+	p.confirmRemovals(now)
 }
 
 // Run serves the API and runs health checks, planning and copies until ctx ends.
@@ -117,6 +124,8 @@
 	mux.HandleFunc("DELETE /v1/boxes/{id}/drain", func(w http.ResponseWriter, r *http.Request) {
 		p.handleDrain(w, r, false)
 	})
+	mux.HandleFunc("GET /v1/titles", p.handleListTitles)
+	mux.HandleFunc("POST /v1/titles/accept-removals", p.handleAcceptRemovals)
 	mux.HandleFunc("PUT /v1/titles/{name}", p.handleSetTitle)
 	mux.HandleFunc("DELETE /v1/titles/{name}", p.handleSetTitle)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
@@ -334,8 +343,9 @@
 		}
 	}
 	err := p.changeOverrides(func() error { return nil }, func(next *overrides) { next.Titles[t.Name] = t }, func() {
-		p.monitor.SetTitle(t)
-		p.updateManagerTitle(t.Name)
+		p.catalogue.SetOverride(t)
+		p.applyTitles()
+		p.confirmRemovals(time.Now().UnixMilli())
 		p.updateHolders()
 		p.publishView()
 	})
--- a/internal/planner/reload.go
+++ b/internal/planner/reload.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"rainpulley/internal/config"
+	"rainpulley/internal/titles"
 	"rainpulley/internal/view"
 )
 
@@ -19,8 +21,13 @@
 	return view.Box{ID: b.Addr, Zone: b.Zone, Kind: b.Kind, Cell: b.Cell, Rack: b.Cell % p.Site.Racks, Weight: b.Weight}
 }
 
-func siteTitle(t config.Title) view.Title {
-	return view.Title{Name: t.Name, HomeCell: t.Home, CellSpan: t.Span, LengthMs: t.Length.Std().Milliseconds()}
+// siteTitles returns the titles of a site file.
+func siteTitles(site *config.Site) (list titles.List) {
+	for _, t := range site.Titles {
+		list.Titles = append(list.Titles, view.Title{Name: t.Name, HomeCell: t.Home, CellSpan: t.Span,
+			LengthMs: t.Length.Std().Milliseconds()})
+	}
+	return list
 }
 
 // fleetBoxes returns the boxes of a site file that are part of the fleet: none where sources describe the fleet. A site
@@ -77,32 +84,9 @@
 		p.stopHealthChecks(addr)
 		p.monitor.Remove(addr)
 	}
-	p.applySiteTitles(site.Titles)
+	p.updateTitleList(siteSource, siteTitles(site), time.Now().UnixMilli())
 	needsRestart := config.ChangedFields(p.Site, site, "boxes", "titles", "playback")
 	p.currentSite = site
 	p.publishView()
 	p.Log.Info("site reloaded", "boxes", len(site.Boxes), "titles", len(site.Titles), "needs_restart", needsRestart)
 }
-
-// applySiteTitles applies the titles that the site file changed, except those that operators overrode. p.mu is held.
-func (p *Planner) applySiteTitles(titles []config.Title) {
-	old := map[string]config.Title{}
-	for _, t := range p.currentSite.Titles {
-		old[t.Name] = t
-	}
-	set := func(t view.Title) {
-		if _, overridden := p.overrides.Titles[t.Name]; !overridden {
-			p.monitor.SetTitle(t)
-			p.updateManagerTitle(t.Name)
-		}
-	}
-	for _, t := range titles {
-		if previous, known := old[t.Name]; !known || previous != t {
-			set(siteTitle(t))
-		}
-		delete(old, t.Name)
-	}
-	for name := range old {
-		set(view.Title{Name: name})
-	}
-}
--- a/internal/planner/sources.go
+++ b/internal/planner/sources.go
@@ -15,6 +15,7 @@
 	"rainpulley/internal/config"
 	"rainpulley/internal/reconcile"
 	"rainpulley/internal/registry"
+	"rainpulley/internal/titles"
 	"rainpulley/internal/view"
 	"rainpulley/internal/viewstore"
 )
@@ -32,9 +33,9 @@
 	boxes         map[string]registry.Box // as the source in effect describes them
 	boxesBySource map[string]map[string]registry.Box
 	statuses      []reconcile.Status
-	heard         bool            // a source has delivered a snapshot to this process
-	titleNames    map[string]bool // titles of the last snapshot that describes titles
-	restoredFrom  string          // the source of the snapshot on disk; "": there was none
+	heard         bool              // a source has delivered a snapshot to this process
+	lastSnapshot  registry.Snapshot // last one delivered, with the titles that it amounts to
+	restoredFrom  string            // the source of the snapshot on disk; "": there was none
 	lastFaults    string
 	lastOutcomes  map[string]view.Outcome // last reported counts, by edge instance and box
 	store         *viewstore.Store
@@ -63,17 +64,19 @@
 		names = append(names, s.Name())
 	}
 	state.reconciler = reconcile.New(rules, append(names, diskSource)...)
-	state.boxes, state.boxesBySource, state.titleNames, state.lastOutcomes = map[string]registry.Box{},
-		map[string]map[string]registry.Box{}, map[string]bool{}, map[string]view.Outcome{}
+	state.boxes, state.boxesBySource, state.lastOutcomes = map[string]registry.Box{},
+		map[string]map[string]registry.Box{}, map[string]view.Outcome{}
 	if p.State != "" {
 		state.store = viewstore.Open(filepath.Join(p.State, snapshotFile))
-		p.restoreSnapshot()
 	}
 	return nil
 }
 
 // restoreSnapshot applies the snapshot that was last stored on disk, with its age. It is called before p runs.
 func (p *Planner) restoreSnapshot() {
+	if p.sourceState.store == nil {
+		return
+	}
 	saved, err := p.sourceState.store.Read()
 	if errors.Is(err, fs.ErrNotExist) {
 		return
@@ -88,8 +91,9 @@
 	p.Log.Info("started from the stored snapshot of sources", "file", saved.Path,
 		"age", time.Since(saved.WrittenAt).Round(time.Second), "boxes", len(snapshot.Boxes))
 	p.sourceState.restoredFrom = snapshot.Source
+	p.applyTitleList(snapshot, saved.WrittenAt.UnixMilli())
 	snapshot.Source = diskSource
-	p.applySnapshot(snapshot, saved.WrittenAt.UnixMilli())
+	p.applyBoxList(snapshot, saved.WrittenAt.UnixMilli())
 }
 
 // sourcesHeard reports whether the planner knows the fleet from this process's own reading of the sources, and not only
@@ -133,7 +137,9 @@
 	if snapshot.Source == p.sourceState.restoredFrom { // the snapshot on disk is an earlier list of this source
 		p.sourceState.reconciler.WithdrawDrains(diskSource)
 	}
-	p.applySnapshot(snapshot, now-snapshot.Age.Milliseconds())
+	p.applyBoxList(snapshot, now-snapshot.Age.Milliseconds())
+	snapshot.Titles = p.applyTitleList(snapshot, now)
+	p.sourceState.lastSnapshot = snapshot
 	p.reconcileSources(now)
 	p.mu.Unlock()
 	if err := p.storeSnapshot(snapshot); err != nil {
@@ -144,26 +150,32 @@
 // storeSnapshot stores a snapshot on disk if its version is not stored yet and it has boxes.
 func (p *Planner) storeSnapshot(snapshot registry.Snapshot) error {
 	state := &p.sourceState
-	if state.store == nil || len(snapshot.Boxes) == 0 {
-		return nil
-	}
 	p.changeMu.Lock()
 	defer p.changeMu.Unlock()
 	if state.storedVersion == snapshot.Version {
 		return nil
 	}
-	body, err := json.Marshal(snapshot)
-	if err == nil {
-		err = state.store.Write(body, time.Now())
-	}
+	err := p.writeSnapshot(snapshot)
 	if err == nil {
 		state.storedVersion = snapshot.Version
 	}
 	return err
 }
 
-// applySnapshot passes a snapshot received at a time to the reconciler. p.mu is held, or p does not run yet.
-func (p *Planner) applySnapshot(snapshot registry.Snapshot, at int64) {
+// writeSnapshot writes a snapshot to disk. p.changeMu is held.
+func (p *Planner) writeSnapshot(snapshot registry.Snapshot) error {
+	if p.sourceState.store == nil || len(snapshot.Boxes) == 0 {
+		return nil
+	}
+	body, err := json.Marshal(snapshot)
+	if err != nil {
+		return err
+	}
+	return p.sourceState.store.Write(body, time.Now())
+}
+
+// applyBoxList passes a snapshot received at a time to the reconciler. p.mu is held, or p does not run yet.
+func (p *Planner) applyBoxList(snapshot registry.Snapshot, at int64) {
 	state := &p.sourceState
 	entries := make([]reconcile.Entry, 0, len(snapshot.Boxes))
 	byID := make(map[string]registry.Box, len(snapshot.Boxes))
@@ -185,34 +197,16 @@
 		p.Log.Warn("left out invalid entries of a source", "source", snapshot.Source, "count", len(snapshot.Faults),
 			"faults", faults)
 	}
-	if snapshot.Titles != nil {
-		p.applySourceTitles(snapshot.Titles)
-	}
 }
 
-// applySourceTitles replaces the titles of the view by a source's titles, except those that operators overrode.
-// p.mu is held, or p does not run yet.
-func (p *Planner) applySourceTitles(titles []view.Title) {
-	set := func(t view.Title) {
-		if _, overridden := p.overrides.Titles[t.Name]; !overridden {
-			p.monitor.SetTitle(t)
-			p.updateManagerTitle(t.Name)
-		}
-	}
-	listed := map[string]bool{}
-	for _, t := range titles {
-		listed[t.Name] = true
-		if old := p.monitor.titles[t.Name]; old.HomeCell != t.HomeCell || old.CellSpan != t.CellSpan ||
-			old.LengthMs != t.LengthMs {
-			set(t)
-		}
-	}
-	for name := range p.sourceState.titleNames {
-		if !listed[name] {
-			set(view.Title{Name: name})
-		}
+// applyTitleList passes the titles of a snapshot to the catalogue, and returns the titles in force by it: an entry that
+// cannot be read, and most entries missing at once, remove nothing. p.mu is held, or p does not run yet.
+func (p *Planner) applyTitleList(snapshot registry.Snapshot, at int64) []view.Title {
+	if snapshot.Titles == nil {
+		return nil
 	}
-	p.sourceState.titleNames = listed
+	p.updateTitleList(snapshot.Source, titles.List{Titles: snapshot.Titles, Invalid: snapshot.InvalidTitles}, at)
+	return p.catalogue.List(snapshot.Source)
 }
 
 // reconcileSources applies the reconciled statuses to the monitor: which boxes exist, and which of them get no new
--- a/internal/registry/consul.go
+++ b/internal/registry/consul.go
@@ -113,7 +113,7 @@
 				}
 				return meta, func() {
 					update(1, func() {
-						snapshot.Titles, faults[1] = parseTitles(c.Site, c.Config.Titles, list)
+						snapshot.Titles, snapshot.InvalidTitles, faults[1] = parseTitles(c.Site, c.Config.Titles, list)
 						snapshot.Version++
 					})
 				}, nil
--- a/internal/registry/parse.go
+++ b/internal/registry/parse.go
@@ -124,9 +124,10 @@
 }
 
 // parseTitles reads titles from the key-value pairs under the prefix: the rest of a key is the title's name, the
-// value is {"home","span","length_ms"}.
-func parseTitles(site *config.Site, prefix string, pairs api.KVPairs) (out []view.Title, faults []string) {
-	out = []view.Title{}
+// value is {"home","span","length_ms"}. invalid holds the titles whose entry could not be read, by name.
+func parseTitles(site *config.Site, prefix string, pairs api.KVPairs) (
+	out []view.Title, invalid map[string]string, faults []string) {
+	out, invalid = []view.Title{}, map[string]string{}
 	for _, pair := range pairs {
 		name := strings.TrimPrefix(pair.Key, prefix)
 		if name == "" { // the key of the folder itself
@@ -149,10 +150,11 @@
 		}
 		if err != nil {
 			faults = append(faults, fmt.Sprintf("key %s: %v", pair.Key, err))
+			invalid[name] = err.Error()
 			continue
 		}
 		out = append(out, t)
 	}
 	slices.SortFunc(out, func(a, b view.Title) int { return cmp.Compare(a.Name, b.Name) })
-	return out, faults
+	return out, invalid, faults
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -28,6 +28,8 @@
 	Boxes   []Box         // in order of their ids
 	Titles  []view.Title  // nil: the source does not describe titles
 	Faults  []string      // entries that were left out, with the reason
+
+	InvalidTitles map[string]string // titles that have an entry which was left out, with the reason, by name
 }
 
 // Source delivers snapshots of the fleet until ctx ends. A temporary error is passed to onError and the read is
