Copies: a title's permanent boxes are known also if they come or move after it

Seen by the test: the titles of a catalogue are applied before its boxes, so that the copy manager had no permanent boxes for them until a box reported another size of the title; a box that came later, or moved to another cell, was never one. Its copies counted as unwanted and were dropped down to copies.least, and missing ones were not made. Now the monitor counts its changes of layout, and the manager is told anew for all titles after one. TestPermanentBoxesThatComeAfterTitle failed before (nothing copied in both steps).

--- a/internal/planner/copies.go
+++ b/internal/planner/copies.go
@@ -34,6 +34,7 @@
 	decisions      *mapping.Decisions
 	drift          *mapping.DriftTracker
 	titleSizes     map[string]float64 // kB, as boxes report them
+	layout         uint64             // Monitor.layout for which the manager knows the permanent boxes of all titles
 	lastChoice     mapping.Choice
 	lastDriftAt    int64
 	driftCopies    []mapping.Copy // wanted because of drifting popularity, without an announced peak
@@ -148,11 +149,18 @@
 	manager.SetTitle(copies.Title{Name: name, Size: p.copyState.titleSizes[name], PermanentBoxes: p.baseBoxes(t)})
 }
 
-// updateManagerBoxes passes the monitored boxes to the copy manager. p.mu is held.
+// updateManagerBoxes passes the monitored boxes to the copy manager, and the permanent boxes of all titles if boxes came,
+// left or moved. p.mu is held.
 func (p *Planner) updateManagerBoxes() {
 	if p.copyState.manager == nil {
 		return
 	}
+	if p.copyState.layout != p.monitor.layout {
+		p.copyState.layout = p.monitor.layout
+		for name := range p.monitor.titles {
+			p.updateManagerTitle(name)
+		}
+	}
 	var boxes []copies.Box
 	for id, b := range p.monitor.boxes {
 		if b.effectiveState() != view.StateGone {
--- a/internal/planner/monitor.go
+++ b/internal/planner/monitor.go
@@ -31,6 +31,7 @@
 	// from a source that is not read yet, or return to one.
 	operatorDrains map[string]bool
 	titles         map[string]view.Title
+	layout         uint64 // rises when a box is added, removed or moved to another cell
 	version        uint64
 	lastView       view.View
 }
@@ -60,6 +61,7 @@
 	if m.boxes[b.ID] == nil {
 		b.State = view.StateGone
 		m.boxes[b.ID] = &boxState{box: b}
+		m.layout++
 	}
 }
 
@@ -67,6 +69,9 @@
 func (m *Monitor) Update(b view.Box) {
 	if old := m.boxes[b.ID]; old != nil {
 		b.State, b.StartedMs = old.box.State, old.box.StartedMs
+		if b.Cell != old.box.Cell {
+			m.layout++
+		}
 		old.box = b
 		return
 	}
@@ -74,7 +79,10 @@
 }
 
 // Remove removes a box.
-func (m *Monitor) Remove(id string) { delete(m.boxes, id) }
+func (m *Monitor) Remove(id string) {
+	delete(m.boxes, id)
+	m.layout++
+}
 
 // SetDrain starts or ends an operator's drain of a box. It returns false if there is no such box yet; the drain applies
 // as soon as there is one.
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -456,3 +456,43 @@
 	env.deliver()
 	check("after a restart")
 }
+
+// Guards against a title whose permanent boxes are not known because they came, or moved, after the title: its copies
+// there would be dropped as unwanted, and missing ones never made.
+func TestPermanentBoxesThatComeAfterTitle(t *testing.T) {
+	env := newRestartEnv(t, true)
+	env.options.Site.Copies = config.Copies{Managed: true, Least: 1, AtOnce: 1, Share: 1}
+	env.start()
+	env.runHealthChecks()
+	fetchTarget := func() (target string) {
+		p := env.planner
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, b := range env.siteBoxes() {
+			p.monitor.RecordCheck(b.Addr, HealthCheck{Answered: true, BootID: "one", Started: time.UnixMilli(1)})
+		}
+		p.updateManagerBoxes()
+		for _, b := range env.siteBoxes() {
+			inventory := copies.Inventory{FreeDisk: 1000, Copies: map[string]copies.Copy{}}
+			if b.Addr == "127.0.0.1:1" {
+				inventory.Copies["clip"] = copies.Copy{Complete: true}
+			}
+			p.copyState.manager.HandleInventory(b.Addr, inventory, 0)
+		}
+		for _, c := range p.copyState.manager.NextCommands(0) {
+			target += c.Box
+		}
+		return target
+	}
+	snapshot := env.snapshot("clip")
+	snapshot.Titles[0].CellSpan = 2
+	env.planner.handleSnapshot(snapshot)
+	if got := fetchTarget(); got != "127.0.0.1:2" {
+		t.Errorf("copied to %q, want the title's second box", got)
+	}
+	snapshot.Boxes[1].Cell, snapshot.Boxes[2].Cell = 2, 1
+	env.planner.handleSnapshot(snapshot)
+	if got := fetchTarget(); got != "127.0.0.1:3" {
+		t.Errorf("copied to %q, want the box that moved to the title's second cell", got)
+	}
+}
