Edge: errors of accept are waited out, and viewers leave descriptors for requests to boxes

Cause: http1.Server.Serve ended at the first error of accept, whatever it was. And an edge used a descriptor for each viewer and one for each request to a box, bounded by limits.connections alone, so that viewers could take all. Now the table of errno says which errors end a listener (closed, EBADF, EFAULT, EINVAL, ENOTSOCK); internal/accept waits the others out, woken by a connection that is closed, for edge and planner, and the node asks the same table. The planner's net/http ended at ENOBUFS and the like, too. internal/descriptors divides a process's descriptors: half for viewers, half for calls, after 48 for itself and one for each stream to a box. A viewer above the limit gets 503 with Retry-After instead of a close without an answer, 16 at once, further ones wait in the backlog.

--- a/internal/edge/boxes.go
+++ b/internal/edge/boxes.go
@@ -14,6 +14,7 @@
 	"rainpulley/control"
 	"rainpulley/internal/cmsd"
 	"rainpulley/internal/core"
+	"rainpulley/internal/descriptors"
 	"rainpulley/internal/hls"
 	"rainpulley/internal/http1"
 	"rainpulley/internal/view"
@@ -23,7 +24,8 @@
 // notes in their event streams.
 type boxClient struct {
 	edge         *Edge
-	http         *http1.Client
+	http         *http1.Client // calls
+	streams      *http1.Client // event streams
 	releaseQueue chan releaseRequest
 
 	mu              sync.Mutex
@@ -52,10 +54,12 @@
 )
 
 func newBoxClient(e *Edge) *boxClient {
-	limits := http1.DefaultLimits()
-	return &boxClient{edge: e, followers: map[string]*follower{}, outcomes: map[string]view.Outcome{},
-		releaseQueue: make(chan releaseRequest, releaseQueueSize),
-		http:         &http1.Client{Limits: limits, ConnectTimeout: e.Site.Attempts.ConnectTimeout.Std()}}
+	b := &boxClient{edge: e, followers: map[string]*follower{}, outcomes: map[string]view.Outcome{},
+		releaseQueue: make(chan releaseRequest, releaseQueueSize)}
+	dialer := &descriptors.Dialer{Budget: e.descriptors, Timeout: e.Site.Attempts.ConnectTimeout.Std()}
+	b.http = &http1.Client{Limits: http1.DefaultLimits(), Dial: dialer.Call}
+	b.streams = &http1.Client{Limits: http1.DefaultLimits(), Dial: dialer.Stream}
+	return b
 }
 
 // SetUp asks a box to start a session: POST /sessions/<id>. Its outcome separates failures that prove that the
@@ -68,7 +72,8 @@
 }
 
 // countOutcome counts the outcome of a set-up for the report to the planner, so that failing set-ups can
-// overrule a health check that passes. A refusal for lack of capacity and a cancelled set-up do not count.
+// overrule a health check that passes. A refusal for lack of capacity, a cancelled set-up and one that this machine
+// could not send do not count.
 func (b *boxClient) countOutcome(ctx context.Context, server string, outcome control.Outcome) {
 	served := outcome == control.Served
 	if outcome == control.Full || !served && errors.Is(ctx.Err(), context.Canceled) {
@@ -154,12 +159,13 @@
 }
 
 // classifyErrorAfterStart returns the outcome of an error after the box confirmed that the session runs. It is
-// never ConnectFailed, which would say that the session did not start.
+// never ConnectFailed or NotSent, which would say that the session did not start.
 func classifyErrorAfterStart(ctx context.Context, err error) control.Outcome {
-	if outcome := classifySetUpError(ctx, err); outcome != control.ConnectFailed {
-		return outcome
+	outcome := classifySetUpError(ctx, err)
+	if outcome == control.ConnectFailed || outcome == control.NotSent {
+		return control.Reset
 	}
-	return control.Reset
+	return outcome
 }
 
 // parseLoadReport returns the load that a box reports in its response, or nil if it reports none.
@@ -291,7 +297,7 @@
 		opened := b.edge.now()
 		ctx, cancel := context.WithCancel(b.edge.ctx)
 		b.edge.spawn(func() { b.cancelWhenIdle(ctx, cancel, f) })
-		ok, err := b.http.StreamLines(ctx, server, "/events?edge="+b.edge.instanceName(), streamReadTimeout,
+		ok, err := b.streams.StreamLines(ctx, server, "/events?edge="+b.edge.instanceName(), streamReadTimeout,
 			func(line []byte) error {
 				failures = 0
 				return b.handleEvent(server, f, opened, line)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,6 +24,7 @@
 	"rainpulley/internal/admission"
 	"rainpulley/internal/config"
 	"rainpulley/internal/core"
+	"rainpulley/internal/descriptors"
 	"rainpulley/internal/http1"
 	"rainpulley/internal/timeconv"
 	"rainpulley/internal/view"
@@ -40,6 +41,7 @@
 	Seed          uint64
 	StartTime     time.Time     // wall-clock time at start; zero: the system clock
 	ShutdownGrace time.Duration // time for requests in progress to finish after the context of Run ends
+	Descriptors   int           // file descriptors that the process may open; 0: as the system allows
 	Log           *slog.Logger
 	NewDecider    func(control.Settings, uint64) (core.Decider, error) // nil: control.New
 }
@@ -50,6 +52,7 @@
 	settings         control.Settings
 	orchestrator     *core.Orchestrator
 	boxes            *boxClient
+	descriptors      *descriptors.Budget
 	sessions         *sessionTable
 	playlists        *playlistCache
 	fleet            atomic.Pointer[fleet]
@@ -109,6 +112,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("edge: %w", err)
 	}
+	if o.Descriptors == 0 {
+		e.Options.Descriptors = descriptors.ProcessLimit()
+	}
+	e.descriptors = descriptors.NewBudget(e.Options.Descriptors, o.Site.Limits.Connections)
 	e.boxes = newBoxClient(e)
 	e.playlists = &playlistCache{edge: e, byPath: map[string]cachedPlaylist{}}
 	e.orchestrator = core.New(core.Options{QueueSize: o.Site.Limits.Queue, MaxAttempts: o.Site.Attempts.Most,
@@ -162,7 +169,8 @@
 		e.spawn(func() { e.receivePeerMessages(runCtx) })
 	}
 	e.Log.Info("edge is serving", "address", e.Listener.Addr().String(), "position", e.Position, "instance", e.instanceID)
-	s := &http1.Server{Handler: e.handle, Limits: http1.DefaultLimits(), MaxConns: e.Site.Limits.Connections, Log: e.Log}
+	s := &http1.Server{Handler: e.handle, Limits: http1.DefaultLimits(), Slots: e.descriptors,
+		RetryAfter: e.Site.RetryAfter.Std(), Log: e.Log}
 	err := s.Serve(ctx, e.Listener, e.ShutdownGrace)
 	e.Log.Info("edge is stopping", "open", e.orchestrator.Stats.Open.Load())
 	stop()
--- a/internal/edge/env_test.go
+++ b/internal/edge/env_test.go
@@ -40,6 +40,7 @@
 	plannerTask *task
 
 	planner         *planner.Planner
+	edgeDescriptors int                // file descriptors that an edge may open; 0: as the system allows
 	edgeClockOffset time.Duration      // added to the clocks of edges
 	catalogue       *standin.Catalogue // if set, the planner knows only the boxes in this catalogue
 }
@@ -140,7 +141,7 @@
 func (env *testEnv) startEdge(i, boxes int) {
 	env.t.Helper()
 	o := edge.Options{Site: env.site, Position: i, Planner: env.site.Planner.Listen, StateDir: env.stateDir, Seed: uint64(i + 1), ShutdownGrace: 3 * time.Second,
-		Log: slog.New(slog.DiscardHandler), StartTime: time.Now().Add(env.edgeClockOffset)}
+		Descriptors: env.edgeDescriptors, Log: slog.New(slog.DiscardHandler), StartTime: time.Now().Add(env.edgeClockOffset)}
 	if testing.Verbose() {
 		o.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -205,3 +205,44 @@
 	}
 	env.waitFor("descriptors to be closed", func() bool { return openDescriptors() <= before+4 })
 }
+
+// Guards against viewers who hold all descriptors, so that the requests to boxes of those that are served fail: a viewer
+// above the limit gets 503, and one that holds a connection gets a session.
+func TestDescriptorsForBoxes(t *testing.T) {
+	env := newTestEnv(t, 3, 1, nil)
+	env.edgeDescriptors = 80
+	env.startEdge(0, 3)
+	var held []net.Conn
+	refused := 0
+	for range 60 {
+		c, err := net.Dial("tcp", env.site.Edges[0].Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		request := fmt.Sprintf("GET /play/clip/index.m3u8?key=d%d HTTP/1.1\r\nHost: x\r\n\r\n", len(held))
+		answer := make([]byte, 64)
+		_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+		if _, err = io.WriteString(c, request); err == nil {
+			_, err = c.Read(answer)
+		}
+		switch {
+		case err != nil:
+			t.Fatalf("connection %d: %v", len(held)+refused, err)
+		case strings.HasPrefix(string(answer), "HTTP/1.1 200 "):
+			held = append(held, c)
+		case strings.HasPrefix(string(answer), "HTTP/1.1 503 "):
+			refused++
+		default:
+			t.Fatalf("answered %q", answer)
+		}
+	}
+	if len(held) < 10 || len(held) > 16 || refused == 0 {
+		t.Errorf("%d served, %d refused, want half of 32 descriptors less streams to be served", len(held), refused)
+	}
+	if _, err := io.WriteString(held[0], "GET /play/clip/index.m3u8?key=again HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Error(err)
+	}
+	env.waitFor("another set-up at a box", func() bool { return env.countEntries(audit.SetUpReceived, "") == len(held)+1 })
+	env.checkAudit()
+}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -10,7 +10,10 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -43,8 +46,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serve(t, h, ln)
+}
+
+// serve runs a Server with at most four connections on a listener until the test ends, and returns its address.
+func serve(t *testing.T, h Handler, ln net.Listener) string {
 	ctx, stop := context.WithCancel(context.Background())
-	s := &Server{Handler: h, Limits: testLimits(), MaxConns: 4, Log: slog.New(slog.DiscardHandler)}
+	s := &Server{Handler: h, Limits: testLimits(), MaxConns: 4, RetryAfter: 500 * time.Millisecond, Log: slog.New(slog.DiscardHandler)}
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(ctx, ln, time.Second) }()
 	t.Cleanup(func() {
@@ -336,3 +344,73 @@
 		}
 	}
 }
+
+// failingListener returns an error before each connection.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failed = !l.failed; l.failed {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a server that ends when accept fails because the process has no descriptor left.
+func TestServerOutlivesAcceptErrors(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := serve(t, echo, &failingListener{Listener: ln})
+	for range 3 {
+		if got := sendRaw(t, addr, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"); !strings.HasPrefix(got, "HTTP/1.1 200 ") {
+			t.Errorf("answered %q", got)
+		}
+	}
+}
+
+// Guards against connections above the limit that are closed without an answer: each gets 503 with advice, however many
+// come at once, and one is served again once others are closed.
+func TestConnectionsAboveLimitAreRefused(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+	release, holding := make(chan struct{}), make(chan struct{}, 4)
+	addr := startServer(t, func(ctx context.Context, x *Exchange) {
+		if string(x.Path) == "/hold" {
+			holding <- struct{}{}
+			<-release
+		}
+		echo(ctx, x)
+	})
+	for range 4 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, strings.Replace(request, "/", "/hold", 1)); err != nil {
+			t.Fatal(err)
+		}
+		<-holding
+	}
+	var work sync.WaitGroup
+	for range 60 {
+		work.Go(func() {
+			got := sendRaw(t, addr, request)
+			if !strings.HasPrefix(got, "HTTP/1.1 503 ") || !strings.Contains(got, "\r\nRetry-After: 1\r\n") {
+				t.Errorf("answered %q", got)
+			}
+		})
+	}
+	work.Wait()
+	close(release)
+	for range 100 {
+		if got := sendRaw(t, addr, request); strings.HasPrefix(got, "HTTP/1.1 200 ") {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("not served after the others were closed")
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"rainpulley/internal/accept"
 )
 
 // Request is one received request. Its slices are valid until the next request on the connection is read.
@@ -247,15 +249,25 @@
 // Server serves each connection in its own goroutine. Requests on a connection, including pipelined ones, are
 // handled in the order in which they arrive.
 type Server struct {
-	Handler  Handler
-	Limits   Limits
-	MaxConns int // maximum number of open connections, 0 for no limit; further ones are closed immediately
-	Log      *slog.Logger
+	Handler    Handler
+	Limits     Limits
+	MaxConns   int           // maximum number of open connections, 0 for no limit; further ones are refused with status 503
+	Slots      ConnSlots     // further limit of open connections; nil: none
+	RetryAfter time.Duration // advised to connections that are refused
+	Log        *slog.Logger
 
 	mu       sync.Mutex
 	conns    map[*serverConn]struct{}
 	draining atomic.Bool
 	wg       sync.WaitGroup
+	refusals chan struct{} // one entry for each connection that is being refused
+	listener *accept.Listener
+}
+
+// ConnSlots limits the number of open connections.
+type ConnSlots interface {
+	Acquire() bool // false: none is free
+	Release()
 }
 
 // serverConn is one connection. Its state tells drain which connections can be closed immediately: a connection is
@@ -288,19 +300,17 @@
 }
 
 // Serve accepts connections until ctx ends, then waits up to grace for requests in progress and closes all
-// connections.
+// connections. An error of accept that passes is waited out.
 func (s *Server) Serve(ctx context.Context, ln net.Listener, grace time.Duration) error {
 	s.conns = map[*serverConn]struct{}{}
+	s.refusals, s.listener = make(chan struct{}, maxRefusals), accept.NewListener(ctx, ln, s.Log)
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	var err error
-	for {
+	for err == nil {
 		var c net.Conn
-		if c, err = ln.Accept(); err != nil {
-			break
-		}
-		if !s.startConn(c) {
-			_ = c.Close()
+		if c, err = s.listener.Accept(); err == nil && !s.startConn(c) {
+			s.startRefusal(ctx, c)
 		}
 	}
 	_ = ln.Close()
@@ -311,11 +321,11 @@
 	return err
 }
 
-// startConn starts serving a connection. It returns false if the server is draining or has reached MaxConns.
+// startConn starts serving a connection. It returns false if the server is draining or no connection is free.
 func (s *Server) startConn(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining.Load() || s.MaxConns > 0 && len(s.conns) >= s.MaxConns {
+	if s.draining.Load() || s.MaxConns > 0 && len(s.conns) >= s.MaxConns || s.Slots != nil && !s.Slots.Acquire() {
 		return false
 	}
 	sc := &serverConn{Conn: c}
@@ -325,6 +335,19 @@
 	return true
 }
 
+// endConn closes a connection that startConn started, and frees its place.
+func (s *Server) endConn(c *serverConn) {
+	_ = c.Close()
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	if s.Slots != nil {
+		s.Slots.Release()
+	}
+	s.listener.NotifyFreed()
+	s.wg.Done()
+}
+
 // drain closes idle connections, waits up to grace for the others and then closes those too.
 func (s *Server) drain(grace time.Duration) {
 	s.draining.Store(true)
@@ -355,14 +378,7 @@
 // serveConn handles the requests of one connection until it is closed.
 func (s *Server) serveConn(c *serverConn) {
 	ctx, cancel := context.WithCancel(context.Background())
-	defer func() {
-		cancel()
-		_ = c.Close()
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
-		s.wg.Done()
-	}()
+	defer func() { cancel(); s.endConn(c) }()
 	x := &Exchange{conn: c, reader: bufio.NewReaderSize(c, s.Limits.MaxLineBytes)}
 	var response []byte
 	for {
--- a/internal/node/viewerconns.go
+++ b/internal/node/viewerconns.go
@@ -55,7 +55,10 @@
 			v.acceptedAllBefore = now
 		}
 		switch {
-		case errors.Is(err, net.ErrClosed):
+		case socketerror.EndsListener(err):
+			if !errors.Is(err, net.ErrClosed) {
+				v.node.Log.Error("the listener is of no use any more", "error", err)
+			}
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded) && drainingBacklog:
 			return
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -7,14 +7,17 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"rainpulley/internal/accept"
 	"rainpulley/internal/cmsd"
 	"rainpulley/internal/config"
+	"rainpulley/internal/descriptors"
 	"rainpulley/internal/http1"
 	"rainpulley/internal/registry"
 	"rainpulley/internal/timeconv"
@@ -37,7 +40,8 @@
 // Planner is a running planner.
 type Planner struct {
 	Options
-	client *http1.Client
+	client      *http1.Client
+	descriptors *descriptors.Budget
 
 	changeMu   sync.Mutex // serializes changes that are stored in the state folder; locked before mu
 	stateError error      // why the state of an earlier process was not read; p does not run then
@@ -62,8 +66,9 @@
 // are above those of the previous process.
 func New(o Options) *Planner {
 	p := &Planner{Options: o, monitor: NewMonitor(o.Site.Planner.GoneAfter, uint64(time.Now().UnixMilli())),
-		updated: make(chan struct{}),
-		client:  &http1.Client{Limits: http1.DefaultLimits(), ConnectTimeout: o.Site.Planner.CheckFor.Std()}}
+		updated: make(chan struct{}), descriptors: descriptors.NewBudget(descriptors.ProcessLimit(), math.MaxInt)}
+	dialer := &descriptors.Dialer{Budget: p.descriptors, Timeout: o.Site.Planner.CheckFor.Std()}
+	p.client = &http1.Client{Limits: http1.DefaultLimits(), Dial: dialer.Call}
 	p.peakState, p.currentSite = newPeakState(), o.Site
 	p.epoch, p.copyState = uint64(time.Now().UnixMilli()), p.newCopyState()
 	if err := p.openSources(); err != nil {
@@ -141,7 +146,7 @@
 	defer stop()
 	p.Log.Info("planner is serving", "address", p.Listener.Addr().String(), "boxes", len(p.Site.Boxes),
 		"titles", len(p.Site.Titles))
-	err := server.Serve(p.Listener)
+	err := server.Serve(&accept.Limited{Listener: accept.NewListener(ctx, p.Listener, p.Log), Budget: p.descriptors})
 	wg.Wait()
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -192,10 +197,13 @@
 		case <-timer.C:
 		}
 		timer.Reset(interval)
-		check := p.checkHealth(ctx, addr)
+		check, known := p.checkHealth(ctx, addr)
 		if ctx.Err() != nil {
 			return
 		}
+		if !known {
+			continue
+		}
 		p.mu.Lock()
 		p.monitor.RecordCheck(addr, check)
 		p.updateManagerBoxes()
@@ -212,16 +220,17 @@
 	}
 }
 
-// checkHealth sends one health check to a box. A failed request or an invalid answer counts as not answered.
-func (p *Planner) checkHealth(ctx context.Context, addr string) HealthCheck {
+// checkHealth sends one health check to a box. A failed request or an invalid answer counts as not answered. known is
+// false if the check could not be sent for a reason of this machine, which says nothing about the box.
+func (p *Planner) checkHealth(ctx context.Context, addr string) (check HealthCheck, known bool) {
 	requestCtx, cancel := context.WithTimeout(ctx, p.Site.Planner.CheckFor.Std())
 	defer cancel()
 	r, err := p.client.Do(requestCtx, addr, "GET", "/health", nil, nil)
 	var health healthResponse
 	if err != nil || r.Status != 200 || json.Unmarshal(r.Body, &health) != nil {
-		return HealthCheck{}
+		return HealthCheck{}, true
 	}
-	check := HealthCheck{Answered: true, Draining: health.State == "draining", BootID: health.Boot,
+	check = HealthCheck{Answered: true, Draining: health.State == "draining", BootID: health.Boot,
 		TitlesVersion: health.TitlesVersion, AnsweredAt: time.Now()}
 	if load := cmsd.Parse(r.Get("cmsd-dynamic")); load != nil {
 		if load.LinkUtilization != nil {
@@ -234,7 +243,7 @@
 	if health.StartedMs > 0 && health.StartedMs <= timeconv.MaxUnixMilli {
 		check.Started = time.UnixMilli(health.StartedMs)
 	}
-	return check
+	return check, true
 }
 
 const (
--- a/internal/socketerror/socketerror.go
+++ b/internal/socketerror/socketerror.go
@@ -35,13 +35,15 @@
 	LocalDescriptorLimit
 	// LocalTemporary means that this machine temporarily lacks a resource. It implies nothing about the peer.
 	LocalTemporary
+	// ListenerUnusable means that the listening socket is of no use any more.
+	ListenerUnusable
 )
 
 // String returns the name of a category for logs.
 func (c Category) String() string {
 	names := [...]string{"unknown", "peer closed", "peer reset", "peer refused", "peer silent", "deadline exceeded",
 		"closed here",
-		"no descriptor", "local moment"}
+		"no descriptor", "local moment", "listener unusable"}
 	if c >= 0 && int(c) < len(names) {
 		return names[c]
 	}
@@ -51,6 +53,13 @@
 // IsLocal reports whether the error was caused by this machine. Such an error implies nothing about the peer.
 func (c Category) IsLocal() bool { return c == LocalDescriptorLimit || c == LocalTemporary }
 
+// EndsListener reports whether an error of accept means that no further connection can be accepted. All others are waited
+// out: the peer has left already, or this machine lacks a resource for a moment.
+func EndsListener(err error) bool {
+	category := Classify(err, Accept)
+	return category == ClosedLocally || category == ListenerUnusable
+}
+
 // Call is the kind of call that failed. Some errno values mean different things in different calls.
 type Call int
 
@@ -82,6 +91,12 @@
 	syscall.EACCES:        {LocalTemporary, LocalTemporary, LocalTemporary},
 	syscall.ENOSPC:        {LocalTemporary, LocalTemporary, LocalTemporary}, // epoll: too many watches
 
+	// Errors of the listening socket itself.
+	syscall.EBADF:    {Unknown, ListenerUnusable, Unknown},
+	syscall.EFAULT:   {Unknown, ListenerUnusable, Unknown},
+	syscall.EINVAL:   {Unknown, ListenerUnusable, Unknown},
+	syscall.ENOTSOCK: {Unknown, ListenerUnusable, Unknown},
+
 	// Errors of the peer or of the path to it. accept(2) also returns pending network errors of the new connection.
 	syscall.ECONNREFUSED: {PeerRefused, LocalTemporary, PeerReset},
 	syscall.ECONNRESET:   {PeerReset, LocalTemporary, PeerReset},
--- a/internal/socketerror/socketerror_test.go
+++ b/internal/socketerror/socketerror_test.go
@@ -65,3 +65,17 @@
 		}
 	}
 }
+
+// Guards against a server that ends because accept fails for a reason that passes, as all documented errors do but those
+// of the listening socket itself.
+func TestEndsListener(t *testing.T) {
+	ends := map[syscall.Errno]bool{syscall.EBADF: true, syscall.EFAULT: true, syscall.EINVAL: true, syscall.ENOTSOCK: true}
+	for errno := syscall.Errno(1); errno < 200; errno++ {
+		if got := EndsListener(&net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", errno)}); got != ends[errno] {
+			t.Errorf("%v ends the listener: %v, want %v", errno, got, ends[errno])
+		}
+	}
+	if !EndsListener(&net.OpError{Op: "accept", Err: net.ErrClosed}) || EndsListener(os.ErrDeadlineExceeded) || EndsListener(errors.New("other")) {
+		t.Error("a closed listener does not end, or a deadline or an unknown error ends it")
+	}
+}
