Edge and planner: an error of this machine says nothing about a box

Now such errors (internal/socketerror, and no free descriptor in time) are NotSent to the module, are not reported, and count as no failure of a stream and as no missed check.

--- a/internal/edge/boxes.go
+++ b/internal/edge/boxes.go
@@ -76,7 +76,7 @@
 // could not send do not count.
 func (b *boxClient) countOutcome(ctx context.Context, server string, outcome control.Outcome) {
 	served := outcome == control.Served
-	if outcome == control.Full || !served && errors.Is(ctx.Err(), context.Canceled) {
+	if outcome == control.Full || outcome == control.NotSent || !served && errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
 	b.mu.Lock()
@@ -148,6 +148,8 @@
 func classifySetUpError(ctx context.Context, err error) control.Outcome {
 	var e *http1.Error
 	switch {
+	case errors.Is(err, http1.ErrNotSent) && descriptors.IsLocal(err):
+		return control.NotSent
 	case errors.Is(err, http1.ErrNotSent):
 		return control.ConnectFailed
 	case ctx.Err() != nil:
@@ -307,7 +309,7 @@
 		if idle && b.removeIfUnused(server, f) {
 			return
 		}
-		if !ok {
+		if !ok && !descriptors.IsLocal(err) {
 			failures++
 		}
 		if failures >= maxStreamFailures {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -226,6 +226,10 @@
 	requestCtx, cancel := context.WithTimeout(ctx, p.Site.Planner.CheckFor.Std())
 	defer cancel()
 	r, err := p.client.Do(requestCtx, addr, "GET", "/health", nil, nil)
+	if descriptors.IsLocal(err) {
+		p.Log.Warn("health check not sent", "server", addr, "error", err)
+		return HealthCheck{}, false
+	}
 	var health healthResponse
 	if err != nil || r.Status != 200 || json.Unmarshal(r.Body, &health) != nil {
 		return HealthCheck{}, true
