Edge: after a restart seats are given away only once the boxes have listed their sessions

Cause: the module counts seats by the sessions that it knows; between the first view and the boxes' lists it knows none. Now the edge notes for each box of its first view (the saved one, or the planner's where a class has seats) whether it has listed what it runs; until all have, or are lost, a set-up of a class with seats waits, and gets 503 at its deadline. Other classes and sessions that are back already don't wait.

--- a/internal/edge/boxes.go
+++ b/internal/edge/boxes.go
@@ -315,6 +315,7 @@
 		if failures >= maxStreamFailures {
 			b.edge.Log.Info("box lost: its event stream cannot be read", "server", server, "error", err)
 			b.reportLost(server, f, func(string, time.Duration) bool { return true })
+			b.edge.adoption.reported(server)
 			if b.removeIfUnused(server, f) {
 				return
 			}
@@ -393,9 +394,7 @@
 		b.reportLost(server, f, func(id string, addedAt time.Duration) bool {
 			return addedAt < opened && !running[id]
 		})
-		for _, held := range event.Held {
-			b.edge.spawn(func() { b.edge.adoptSession(server, held) })
-		}
+		b.edge.spawn(func() { b.edge.adoptSessions(server, event.Held) })
 	case event.End:
 		b.reportLost(server, f, func(id string, _ time.Duration) bool { return id == event.Session })
 	case event.Kind >= control.NoteShare && event.Kind <= control.NoteUplink && event.Value >= 0:
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -72,9 +72,8 @@
 
 	playback atomic.Pointer[config.Playback] // replaced by Reload
 
-	// Closed when a restarted edge stops waiting for boxes to list its earlier sessions; nil if it started
-	// without a saved view.
-	reclaimDone chan struct{}
+	adoption        *adoption
+	plannerViewSeen bool // used by the goroutine that applies views
 }
 
 // boxStart is the start time of a box as the planner reported it, and the same time by the clock of this edge.
@@ -94,7 +93,8 @@
 	if o.Position < 0 || o.Position >= len(o.Site.Edges) {
 		return nil, fmt.Errorf("edge: position %d is out of range: the site has %d edges", o.Position, len(o.Site.Edges))
 	}
-	e := &Edge{Options: o, settings: o.Site.Settings(o.Position), sessions: newSessionTable(), startedAt: time.Now()}
+	e := &Edge{Options: o, settings: o.Site.Settings(o.Position), sessions: newSessionTable(), startedAt: time.Now(),
+		adoption: newAdoption()}
 	e.wallClockAtStart = time.Duration(e.startedAt.UnixNano())
 	if !o.StartTime.IsZero() {
 		e.wallClockAtStart = time.Duration(o.StartTime.UnixNano())
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -30,6 +30,7 @@
 		}
 	}
 	e.fleet.Store(f)
+	boxes := e.boxesToReclaim(v, cached) // before the module may place sessions on them
 	update := control.ListUpdate{Whole: whole || line.Full, Cached: cached}
 	for _, b := range line.Boxes {
 		if s, ok := e.toServer(b, line.NowMs); ok {
@@ -37,6 +38,9 @@
 		}
 	}
 	e.orchestrator.AddEvent(update)
+	for _, id := range boxes {
+		e.boxes.ensureFollowing(id)
+	}
 	e.Log.Info("view applied", "version", v.Version, "boxes", len(v.Boxes), "titles", len(v.Titles),
 		"changed", len(line.Boxes), "cached", cached)
 	if !cached {
@@ -172,7 +176,6 @@
 		"age", time.Since(saved.WrittenAt).Round(time.Millisecond))
 	v := view.View{Version: line.Version, Boxes: line.Boxes, Titles: line.Titles}
 	e.applyView(v, line, true, true)
-	e.reclaimSessions(v)
 }
 
 // openPeers resolves the addresses of all edges and opens the UDP port for their messages, if the site allows
--- a/internal/edge/handle.go
+++ b/internal/edge/handle.go
@@ -335,7 +335,7 @@
 // a new one, or refuses.
 func (e *Edge) serve(ctx context.Context, x *http1.Exchange, req viewerRequest, kind admission.RequestKind) {
 	deadline := e.now() + req.patience
-	if kind == admission.Reload && e.reclaimDone != nil && e.sessions.find(req.sessionName) == nil {
+	if kind == admission.Reload && e.sessions.find(req.sessionName) == nil {
 		e.awaitAdoption(req.sessionName)
 	}
 	if full, retryAfter := e.checkCapacity(); full && e.sessions.find(req.sessionName) == nil {
@@ -369,6 +369,14 @@
 				return
 			}
 		case admission.SetUp:
+			if !e.seatsKnown(req.class) {
+				s.mu.Unlock()
+				if !e.awaitSeats(x, deadline) {
+					e.writeRefusal(x, time.Second)
+					return
+				}
+				continue
+			}
 			s.title, s.maxRung = e.fleet.Load().titles[req.title], req.maxRung
 			switch {
 			case decision.Returned && s.resumePosition > 0: // resume where playback ended
@@ -404,15 +412,20 @@
 	}
 }
 
-// awaitAdoption waits after a restart until a box reports the session or reclaimWait is over.
+// awaitAdoption waits after a restart until a box reports the session, all boxes have reported, or reclaimWait is over.
 func (e *Edge) awaitAdoption(name []byte) {
-	t := time.NewTicker(20 * time.Millisecond)
-	defer t.Stop()
+	complete := e.adoption.complete()
+	timeout := time.NewTimer(reclaimWait)
+	defer timeout.Stop()
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
 	for e.sessions.find(name) == nil {
 		select {
-		case <-e.reclaimDone:
+		case <-complete:
+			return
+		case <-timeout.C:
 			return
-		case <-t.C:
+		case <-ticker.C:
 		}
 	}
 }
--- a/internal/edge/restart_test.go
+++ b/internal/edge/restart_test.go
@@ -243,3 +243,49 @@
 	env.startPlanner() // the truncated file is ignored; the site file applies
 	env.waitFor("the titles of the site file", func() bool { code, _ := env.play(0, "key=k2"); return code == 200 })
 }
+
+// Guards against an edge that is killed and started again and gives seats away that sessions of its earlier instance
+// still take: viewers knock from the first moment on, while the boxes have not all listed their sessions.
+func TestSeatsThroughRestart(t *testing.T) {
+	for _, savedView := range []bool{true, false} {
+		t.Run(fmt.Sprint("saved view: ", savedView), func(t *testing.T) {
+			env := newTestEnv(t, 3, 1, func(s *config.Site) { s.Classes[0].Seats = 3 })
+			env.startEdge(0, 3)
+			for i := range 3 {
+				if code, body := env.play(0, fmt.Sprint("key=first", i)); code != 200 {
+					t.Fatal(code, body)
+				}
+			}
+			env.edgeTasks[0].stopAndWait()
+			if !savedView {
+				if err := os.RemoveAll(env.stateDir); err != nil {
+					t.Fatal(err)
+				}
+			}
+			stop := make(chan struct{})
+			var work sync.WaitGroup
+			for viewer := range 8 {
+				work.Go(func() {
+					for {
+						select {
+						case <-stop:
+							return
+						case <-time.After(time.Millisecond):
+							env.play(0, fmt.Sprint("key=later", viewer))
+						}
+					}
+				})
+			}
+			env.startEdge(0, 3)
+			for range 100 {
+				time.Sleep(5 * time.Millisecond)
+				if n := env.fleet.Boxes[0].SessionCount() + env.fleet.Boxes[1].SessionCount() + env.fleet.Boxes[2].SessionCount(); n > 3 {
+					t.Errorf("%d sessions of a title with 3 seats", n)
+				}
+			}
+			close(stop)
+			work.Wait()
+			env.checkAudit()
+		})
+	}
+}
