Reconcile: a box that leaves the list gets no new sessions from then on, however many leave

Cause: "missing from the list" was doubted like a failing check: in effect for a grace, and kept when it removed most of the fleet. Only a check may be doubted; a list that names other boxes tells that this one is gone. Now such a box drains at once and is gone after the grace. An empty list stays suspect, as before.

--- a/internal/reconcile/reconcile.go
+++ b/internal/reconcile/reconcile.go
@@ -3,7 +3,8 @@
 // reads no clock; times are Unix milliseconds.
 //
 // Invariants: a box that a source reported as draining gets no new work until that source withdraws the drain;
-// a box that no source lists is never ready; a mass failure of health checks alone never empties the fleet.
+// a box that a source's list lacks gets no new work from then on, however many left; a box that no source lists is never
+// ready; a mass failure of health checks or an empty list alone never empties the fleet.
 package reconcile
 
 import (
@@ -45,7 +46,7 @@
 // Rules are the time limits and thresholds of a Reconciler.
 type Rules struct {
 	SourceTimeout       time.Duration // after this time without a list, a source no longer takes precedence
-	MissingGrace        time.Duration // how long an entry that is missing from the list remains in effect
+	MissingGrace        time.Duration // how long a box that the list lacks drains, and an entry stays in effect while the list is empty
 	ServedGrace         time.Duration // how long a box with a failing check stays in use while its sessions are served
 	FailureThreshold    int           // consecutive failed set-ups, over all edges, that override a passing check
 	Cooldown            time.Duration // pause before such a box is tried again, doubled each time up to 8 times
@@ -71,6 +72,7 @@
 	Age    time.Duration // since that source last listed the box
 	Reason string
 
+	left             bool  // the source's list names other boxes and not this one
 	unavailableSince int64 // later of the first failing check and the first list without the box; 0: neither
 }
 
@@ -86,6 +88,7 @@
 	Entry
 	listedAt     int64 // time of the last list that has the entry
 	missingSince int64 // time of the first list without the entry; 0: the last list has it
+	left         bool  // missing from a list that has other entries, so that its absence is no fault of the source
 }
 
 // boxHistory is the health and the set-up outcomes of a box, over all sources.
@@ -163,10 +166,13 @@
 		if listed[id] {
 			continue
 		}
+		left := t.left || len(list) > 0
 		if t.missingSince == 0 {
 			t.missingSince = now
-			s.entries[id] = t
-		} else if now-t.missingSince > 10*r.MissingGrace.Milliseconds() {
+		}
+		t.left = left
+		s.entries[id] = t
+		if now-t.missingSince > 10*r.MissingGrace.Milliseconds() {
 			delete(s.entries, id)
 			delete(s.drainedSince, id)
 		}
@@ -244,6 +250,7 @@
 	for id, entry := range s.entries {
 		status := Status{Entry: entry.Entry, Source: s.name, Age: time.Duration(now-entry.listedAt) * time.Millisecond}
 		status.State, status.Reason = r.evaluateBox(id, &entry, s, now)
+		status.left = entry.left
 		status.unavailableSince = max(r.history(id).criticalSince, entry.missingSince)
 		statuses = append(statuses, status)
 	}
@@ -270,6 +277,9 @@
 	if entry.missingSince > 0 && now-entry.missingSince > r.MissingGrace.Milliseconds() {
 		return Gone, "no longer named by " + s.name
 	}
+	if entry.left {
+		return Draining, "no longer named by " + s.name
+	}
 	served := history.lastServedAt > 0 && now-history.lastServedAt <= r.ServedGrace.Milliseconds() && history.failures == 0
 	switch {
 	case entry.Health == Critical && served && now-history.criticalSince <= r.ServedGrace.Milliseconds():
@@ -283,7 +293,7 @@
 	case entry.Health == Warning:
 		return Draining, "check warns"
 	case entry.missingSince > 0:
-		return Ready, "missing from the last list"
+		return Ready, "the last list is empty"
 	}
 	return Ready, "named and passing"
 }
@@ -325,10 +335,10 @@
 	return statuses
 }
 
-// removedByChecks reports whether a box is gone because of checks or lists alone, with fewer failed set-ups than
-// FailureThreshold.
+// removedByChecks reports whether a box is gone because of checks or an empty list alone, with fewer failed set-ups than
+// FailureThreshold. A box that left the list was told to be gone, which is not doubted.
 func (r *Reconciler) removedByChecks(status *Status, history *boxHistory) bool {
-	return status.State == Gone && history.failures < r.FailureThreshold
+	return status.State == Gone && !status.left && history.failures < r.FailureThreshold
 }
 
 // updateWasReady records whether a box is ready. A box that is gone counts as ready before until
