Planner: a box whose catalogue entry cannot be read keeps its last description

Now the source reports such entries with what they say besides (health, drain), and the planner goes on with the last valid description, through a restart too. A box that was never described stays out. TestBoxWithInvalidEntryKeepsDescription fails without it (gone instead of ready).

--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -496,3 +496,26 @@
 		t.Errorf("copied to %q, want the box that moved to the title's second cell", got)
 	}
 }
+
+// Guards against a box that drains, and is gone soon after, because its entry in the catalogue cannot be read for a while.
+// What else the entry says, as a drain, counts.
+func TestBoxWithInvalidEntryKeepsDescription(t *testing.T) {
+	env := newRestartEnv(t, true)
+	env.deliver("clip")
+	snapshot := env.snapshot("clip")
+	snapshot.InvalidBoxes = []reconcile.Entry{snapshot.Boxes[0].Entry, {ID: "127.0.0.1:9", Address: "127.0.0.1:9"}}
+	snapshot.Boxes = snapshot.Boxes[1:]
+	check := func(when string, want view.State) {
+		t.Helper()
+		env.planner.handleSnapshot(snapshot)
+		box := env.planner.monitor.boxes["127.0.0.1:1"]
+		if box == nil || box.reportedState != want || box.box.Weight != 1 || len(env.planner.monitor.boxes) != 3 {
+			t.Errorf("%s: %+v, want it %s among three boxes", when, box, want)
+		}
+	}
+	check("an entry without a valid description", view.StateReady)
+	env.start()
+	check("after a restart", view.StateReady)
+	snapshot.InvalidBoxes[0].Drain = true
+	check("a drain in such an entry", view.StateDraining)
+}
--- a/internal/planner/sources.go
+++ b/internal/planner/sources.go
@@ -137,7 +137,7 @@
 	if snapshot.Source == p.sourceState.restoredFrom { // the snapshot on disk is an earlier list of this source
 		p.sourceState.reconciler.WithdrawDrains(diskSource)
 	}
-	p.applyBoxList(snapshot, now-snapshot.Age.Milliseconds())
+	snapshot.Boxes = p.applyBoxList(snapshot, now-snapshot.Age.Milliseconds())
 	snapshot.Titles = p.applyTitleList(snapshot, now)
 	p.sourceState.lastSnapshot = snapshot
 	p.reconcileSources(now)
@@ -174,12 +174,20 @@
 	return p.sourceState.store.Write(body, time.Now())
 }
 
-// applyBoxList passes a snapshot received at a time to the reconciler. p.mu is held, or p does not run yet.
-func (p *Planner) applyBoxList(snapshot registry.Snapshot, at int64) {
+// applyBoxList passes a snapshot received at a time to the reconciler, and returns the boxes that it amounts to: one
+// whose entry cannot be read keeps its last description. p.mu is held, or p does not run yet.
+func (p *Planner) applyBoxList(snapshot registry.Snapshot, at int64) []registry.Box {
 	state := &p.sourceState
-	entries := make([]reconcile.Entry, 0, len(snapshot.Boxes))
-	byID := make(map[string]registry.Box, len(snapshot.Boxes))
-	for _, box := range snapshot.Boxes {
+	boxes := slices.Clone(snapshot.Boxes)
+	for _, entry := range snapshot.InvalidBoxes {
+		if box, known := p.lastDescription(snapshot.Source, entry.ID); known {
+			box.Entry = entry
+			boxes = append(boxes, box)
+		}
+	}
+	entries := make([]reconcile.Entry, 0, len(boxes))
+	byID := make(map[string]registry.Box, len(boxes))
+	for _, box := range boxes {
 		if p.Site.ZoneIndex(box.Zone) < 0 || p.Site.KindIndex(box.Kind) < 0 || box.Cell < 0 ||
 			box.Cell >= p.Site.Cells || !(box.Weight > 0) {
 			continue // does not fit the site: a snapshot from disk is not validated when it is read
@@ -190,13 +198,26 @@
 	state.boxesBySource[snapshot.Source] = byID
 	if err := state.reconciler.UpdateSource(snapshot.Source, entries, at); err != nil {
 		p.Log.Error("snapshot rejected", "error", err)
-		return
+		return boxes
 	}
 	if faults := strings.Join(snapshot.Faults, "; "); faults != state.lastFaults {
 		state.lastFaults = faults
 		p.Log.Warn("left out invalid entries of a source", "source", snapshot.Source, "count", len(snapshot.Faults),
 			"faults", faults)
 	}
+	return boxes
+}
+
+// lastDescription returns the last valid description of a box: that of the source, else the one in effect, else the one
+// on disk.
+func (p *Planner) lastDescription(source, id string) (registry.Box, bool) {
+	state := &p.sourceState
+	for _, boxes := range []map[string]registry.Box{state.boxesBySource[source], state.boxes, state.boxesBySource[diskSource]} {
+		if box, known := boxes[id]; known {
+			return box, true
+		}
+	}
+	return registry.Box{}, false
 }
 
 // applyTitleList passes the titles of a snapshot to the catalogue, and returns the titles in force by it: an entry that
--- a/internal/registry/consul.go
+++ b/internal/registry/consul.go
@@ -95,7 +95,7 @@
 			}
 			return meta, func() {
 				update(0, func() {
-					snapshot.Boxes, faults[0] = parseBoxes(c.Site, list)
+					snapshot.Boxes, snapshot.InvalidBoxes, faults[0] = parseBoxes(c.Site, list)
 					snapshot.Version, snapshot.Age = max(snapshot.Version+1, meta.LastIndex), meta.LastContact
 				})
 			}, nil
--- a/internal/registry/consul_test.go
+++ b/internal/registry/consul_test.go
@@ -153,6 +153,9 @@
 	r.waitFor("valid entries and one fault for each invalid one", func(s Snapshot) bool {
 		return len(s.Boxes) == 3 && len(s.Titles) == 1 && len(s.Faults) == len(breaks)+4
 	})
+	if n := len(r.last.InvalidBoxes); n != len(breaks)-1 { // the one without an address has no id
+		t.Errorf("%d boxes with invalid entries: %+v", n, r.last.InvalidBoxes)
+	}
 	all := strings.Join(r.last.Faults, "\n")
 	for name := range breaks {
 		if !strings.Contains(all, name+":") {
--- a/internal/registry/parse.go
+++ b/internal/registry/parse.go
@@ -35,14 +35,18 @@
 )
 
 // parseBoxes turns service entries into boxes in order of their ids. An entry that does not fit the site is left
-// out and reported as a fault, without effect on the others. Of two entries with the same address, the one with
-// the later start is used.
-func parseBoxes(site *config.Site, entries []*api.ServiceEntry) (out []Box, faults []string) {
+// out and reported as a fault, without effect on the others; if it has an address, its health and drain are in invalid.
+// Of two entries with the same address, the one with the later start is used.
+func parseBoxes(site *config.Site, entries []*api.ServiceEntry) (
+	out []Box, invalid []reconcile.Entry, faults []string) {
 	byID := map[string]Box{}
 	for _, e := range entries {
 		b, err := parseBox(site, e)
 		if err != nil {
 			faults = append(faults, err.Error())
+			if b.ID != "" {
+				invalid = append(invalid, b.Entry)
+			}
 			continue
 		}
 		if old, duplicate := byID[b.ID]; duplicate {
@@ -56,12 +60,15 @@
 	for _, b := range byID {
 		out = append(out, b)
 	}
+	invalid = slices.DeleteFunc(invalid, func(e reconcile.Entry) bool { _, valid := byID[e.ID]; return valid })
+	slices.SortFunc(invalid, func(a, b reconcile.Entry) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(out, func(a, b Box) int { return cmp.Compare(a.ID, b.ID) })
 	slices.Sort(faults)
-	return out, faults
+	return out, invalid, faults
 }
 
-// parseBox turns a service entry into a box and validates it against the site.
+// parseBox turns a service entry into a box and validates it against the site. With an error, the box has an Entry if the
+// entry has a valid address.
 func parseBox(site *config.Site, e *api.ServiceEntry) (Box, error) {
 	if e == nil || e.Service == nil {
 		return Box{}, fmt.Errorf("entry has no service")
@@ -71,14 +78,17 @@
 		host = e.Node.Address
 	}
 	id := net.JoinHostPort(host, strconv.Itoa(e.Service.Port))
+	var b Box
 	invalid := func(key, format string, a ...any) (Box, error) {
-		return Box{}, fmt.Errorf("service %q at %s: %s: %s", e.Service.ID, id, key, fmt.Sprintf(format, a...))
+		return Box{Entry: b.Entry}, fmt.Errorf("service %q at %s: %s: %s", e.Service.ID, id, key, fmt.Sprintf(format, a...))
 	}
 	if host == "" || e.Service.Port < 1 || e.Service.Port > 65535 {
 		return invalid("address", "host is missing or port is out of range")
 	}
 	meta := e.Service.Meta
-	b := Box{Entry: reconcile.Entry{ID: id, Address: id}, Zone: meta[MetaZone], Kind: meta[MetaKind], Weight: 1}
+	b = Box{Entry: reconcile.Entry{ID: id, Address: id, Drain: meta[MetaDrain] == "true"}, Zone: meta[MetaZone],
+		Kind: meta[MetaKind], Weight: 1}
+	b.Health = worstHealth(e.Checks, &b.Drain)
 	if site.ZoneIndex(b.Zone) < 0 {
 		return invalid(MetaZone, "%q is not a zone of the site", b.Zone)
 	}
@@ -99,8 +109,6 @@
 			return invalid(MetaStarted, "%q is not a valid time in Unix milliseconds", s)
 		}
 	}
-	b.Drain = meta[MetaDrain] == "true"
-	b.Health = worstHealth(e.Checks, &b.Drain)
 	return b, nil
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -30,6 +30,7 @@
 	Faults  []string      // entries that were left out, with the reason
 
 	InvalidTitles map[string]string // titles that have an entry which was left out, with the reason, by name
+	InvalidBoxes  []reconcile.Entry // boxes that have an entry whose description was left out, with what else it says
 }
 
 // Source delivers snapshots of the fleet until ctx ends. A temporary error is passed to onError and the read is
