Audit: requests of reloads count towards the attempt budget, and seats count through a restart of the edge

Now a reload counts if its viewer's session is set up at a box meanwhile, with no request for a session open: evidence from the sockets, and fewer than the edge counts, since refused ones leave none. Seats are counted by edge, not instance.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -40,6 +40,14 @@
 	return e
 }
 
+// reload returns an entry about a viewer's reload.
+func reload(event string) Entry {
+	return modified(viewerEntry(event, "r"), func(e *Entry) { e.Text = PlaylistReload })
+}
+
+// ofViewer returns a box's entry about a session of that viewer.
+func ofViewer(e Entry) Entry { return modified(e, func(e *Entry) { e.Viewer = "v" }) }
+
 // withAttempt appends a set-up attempt that ran.
 func (r timeline) withAttempt(from, to float64, box, id string, attempt int) timeline {
 	return r.at(from, boxEntry(SetUpReceived, box, id, attempt)).at(to,
@@ -115,11 +123,22 @@
 		{"seats of another edge", "", "", "",
 			base.withAttempt(1, 1.1, "b1", "s2", 0).
 				at(2, modified(boxEntry(SetUpReceived, "b2", "s3", 0), func(e *Entry) { e.Edge = "1.b" }))},
+		{"seats of an earlier instance of the edge", ClassTermsRespected, "b2", "s3",
+			base.withAttempt(1, 1.1, "b1", "s2", 0).
+				at(2, modified(boxEntry(SetUpReceived, "b2", "s3", 0), func(e *Entry) { e.Edge = "0.b" }))},
 		{"seat released", "", "", "",
 			base.withAttempt(1, 1.1, "b1", "s2", 0).at(1.5, boxEntry(SessionEnd, "b1", "s1", 0)).
 				withAttempt(2, 2.1, "b2", "s3", 0)},
 		{"attempts beyond the budget", AttemptBudgetRespected, "b2", "s3",
 			base.withAttempt(1, 1.1, "b2", "s1", 1).withAttempt(1.2, 1.3, "b2", "s3", 1)},
+		{"attempts within the budget that a reload's request raises", "", "", "",
+			base.at(0.5, reload(RequestSent)).at(0.6, ofViewer(boxEntry(SetUpReceived, "b2", "s3", 0))).
+				at(0.65, boxEntry(SetUpNotRun, "b2", "s3", 0)).at(0.66, boxEntry(SetUpEnded, "b2", "s3", 0)).at(0.7, reload(AnswerReceived)).
+				withAttempt(1, 1.1, "b2", "s1", 1).withAttempt(1.2, 1.3, "b2", "s3", 1)},
+		{"attempts beyond the budget beside a reload that set up nothing", AttemptBudgetRespected, "b2", "s3",
+			base.at(0.5, reload(RequestSent)).at(0.7, reload(AnswerReceived)).at(0.8, ofViewer(boxEntry(SetUpReceived, "b2", "s3", 0))).
+				at(0.85, boxEntry(SetUpNotRun, "b2", "s3", 0)).at(0.86, boxEntry(SetUpEnded, "b2", "s3", 0)).
+				withAttempt(1, 1.1, "b2", "s1", 1).withAttempt(1.2, 1.3, "b2", "s3", 1)},
 		{"attempts in different windows", "", "", "",
 			base.withAttempt(1, 1.1, "b2", "s1", 1).withAttempt(12, 12.1, "b2", "s3", 1)},
 	} {
@@ -183,3 +202,34 @@
 		t.Error(err)
 	}
 }
+
+// A reload counts as a request if its viewer's session is set up meanwhile, but neither if the viewer asked for a session
+// as well, nor twice for one session, nor if it is another viewer's.
+func TestReloadRequests(t *testing.T) {
+	setUp := func(session string, attempt int) Entry {
+		return ofViewer(boxEntry(SetUpReceived, "b", session, attempt))
+	}
+	for name, c := range map[string]struct {
+		before []Entry
+		last   Entry
+		want   bool
+	}{
+		"set-up while a reload waits":         {[]Entry{reload(RequestSent)}, setUp("s", 0), true},
+		"its first attempt did not arrive":    {[]Entry{reload(RequestSent)}, setUp("s", 1), true},
+		"a further attempt":                   {[]Entry{reload(RequestSent), setUp("s", 0)}, setUp("s", 1), false},
+		"the reload was answered before":      {[]Entry{reload(RequestSent), reload(AnswerReceived)}, setUp("s", 0), false},
+		"a request for a session waits, too":  {[]Entry{viewerEntry(RequestSent, "q"), reload(RequestSent)}, setUp("s", 0), false},
+		"that request was answered before":    {[]Entry{viewerEntry(RequestSent, "q"), viewerEntry(AnswerReceived, "q"), reload(RequestSent)}, setUp("s", 0), true},
+		"another viewer's session":            {[]Entry{reload(RequestSent)}, boxEntry(SetUpReceived, "b", "s", 0), false},
+		"at another edge":                     {[]Entry{reload(RequestSent)}, modified(setUp("s", 0), func(e *Entry) { e.Edge = "1.a" }), false},
+		"the reload itself is not the set-up": {nil, reload(RequestSent), false},
+	} {
+		r := newReloadRequests()
+		for _, e := range c.before {
+			r.isNewRequest(e)
+		}
+		if got := r.isNewRequest(c.last); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/audit/rules.go
+++ b/internal/audit/rules.go
@@ -294,7 +294,8 @@
 }
 
 // checkClassTerms checks that no rung is below the floor of its class, and that the sessions of a title and class
-// at one edge do not exceed the seats.
+// at one edge do not exceed the seats. An edge that was restarted is the same edge: the sessions of its earlier instance
+// keep their seats until they end.
 func (c *checker) checkClassTerms(entries []Entry) {
 	type seatKey struct{ edge, title, class string }
 	endTimes := map[seatKey]map[string]int64{} // by session; 0 while it runs
@@ -302,7 +303,7 @@
 		if e.Observer != "box" {
 			continue
 		}
-		k := seatKey{e.Edge, e.Title, e.Class}
+		k := seatKey{edgePosition(e.Edge), e.Title, e.Class}
 		index := c.site.ClassIndex(e.Class)
 		if index < 0 {
 			continue
@@ -348,22 +349,61 @@
 	}
 	span := r.BudgetSpan.Std().Microseconds()
 	requests, retries := map[string][]int64{}, map[string][]int64{}
+	reloads := newReloadRequests()
 	for _, e := range entries {
 		position := edgePosition(e.Edge)
-		switch {
-		// Reloads do not count, because most of them are no request to the controller.
-		case e.Observer == "viewer" && e.Event == RequestSent && e.Text != PlaylistReload:
+		if reloads.isNewRequest(e) || isSessionRequest(e) {
 			requests[position] = append(dropBefore(requests[position], e.TimeMicros-span-budgetSlack), e.TimeMicros)
-		case e.Observer == "box" && e.Event == SetUpReceived && e.Attempt > 0:
-			c.countCheck(AttemptBudgetRespected)
-			retries[position] = append(dropBefore(retries[position], e.TimeMicros-span+budgetSlack), e.TimeMicros)
-			allowed := r.BudgetFree + r.BudgetShare*float64(len(dropBefore(requests[position], e.TimeMicros-span-budgetSlack)))
-			if float64(len(retries[position])) > allowed {
-				c.addBreach(AttemptBudgetRespected, e, "%d further attempts of edge %s in %v, %.1f allowed",
-					len(retries[position]), position, r.BudgetSpan.Std(), allowed)
-			}
 		}
+		if e.Observer != "box" || e.Event != SetUpReceived || e.Attempt == 0 {
+			continue
+		}
+		c.countCheck(AttemptBudgetRespected)
+		retries[position] = append(dropBefore(retries[position], e.TimeMicros-span+budgetSlack), e.TimeMicros)
+		allowed := r.BudgetFree + r.BudgetShare*float64(len(dropBefore(requests[position], e.TimeMicros-span-budgetSlack)))
+		if float64(len(retries[position])) > allowed {
+			c.addBreach(AttemptBudgetRespected, e, "%d further attempts of edge %s in %v, %.1f allowed",
+				len(retries[position]), position, r.BudgetSpan.Std(), allowed)
+		}
+	}
+}
+
+// isSessionRequest reports whether an entry is a viewer's request for a session.
+func isSessionRequest(e Entry) bool {
+	return e.Observer == "viewer" && e.Event == RequestSent && e.Text != PlaylistReload
+}
+
+// reloadRequests finds the reloads that were requests to the controller: a reload of a session that was lost makes the
+// edge set up the session again. Evidence is a session's first set-up at a box while its viewer has a reload open at that
+// edge, and no request for a session. Reloads without such a set-up are not counted, though they may have been refused.
+type reloadRequests struct {
+	open     map[reloadKey]int // a viewer's open reloads and session requests at an edge
+	sessions map[string]bool   // sessions of which a set-up was seen
+}
+
+// reloadKey identifies a viewer's open requests of one kind at an edge.
+type reloadKey struct {
+	viewer, position string
+	reload           bool
+}
+
+func newReloadRequests() *reloadRequests {
+	return &reloadRequests{open: map[reloadKey]int{}, sessions: map[string]bool{}}
+}
+
+// isNewRequest takes an entry, and reports whether it is the set-up that shows a reload to be a request.
+func (r *reloadRequests) isNewRequest(e Entry) bool {
+	key := reloadKey{e.Viewer, edgePosition(e.Edge), e.Text == PlaylistReload}
+	switch {
+	case e.Observer == "viewer" && e.Event == RequestSent:
+		r.open[key]++
+	case e.Observer == "viewer" && (e.Event == AnswerReceived || e.Event == Unanswered || e.Event == ViewerGaveUp):
+		r.open[key] = max(r.open[key]-1, 0)
+	case e.Observer == "box" && e.Event == SetUpReceived && !r.sessions[e.Session]:
+		r.sessions[e.Session] = true
+		return r.open[reloadKey{key.viewer, key.position, true}] > 0 && r.open[reloadKey{key.viewer, key.position, false}] == 0
 	}
+	return false
 }
 
 // dropBefore returns the part of ascending times from a time on.
