Planner: one process at a time uses a state folder

Need: a planner that is stopping answers the requests it has taken for up to a second; one that is started at that moment with the same folder has read the files already. Now the folder is locked (flock) from before the files are read until the process ends, however it ends. TestStateFolderInUse fails without the lock (the later planner has one of two titles).

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -45,6 +46,7 @@
 
 	changeMu   sync.Mutex // serializes changes that are stored in the state folder; locked before mu
 	stateError error      // why the state of an earlier process was not read; p does not run then
+	stateLock  *os.File   // held from the start until Run returns
 
 	mu          sync.Mutex
 	monitor     *Monitor
@@ -81,6 +83,10 @@
 // restore takes up what earlier processes accepted and what the site file says, before anything is published: first the
 // words of operators and callers, then the last snapshot of the sources, then the site file.
 func (p *Planner) restore() {
+	if p.stateError = p.lockState(); p.stateError != nil {
+		p.Log.Error("the state folder is not used", "error", p.stateError)
+		p.State = ""
+	}
 	now := time.Now().UnixMilli()
 	p.catalogue = titles.New(p.titleSources()...)
 	p.loadOverrides()
@@ -95,6 +101,7 @@
 
 // Run serves the API and runs health checks, planning and copies until ctx ends.
 func (p *Planner) Run(ctx context.Context) error {
+	defer p.unlockState()
 	if p.stateError != nil {
 		return p.stateError
 	}
--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -48,7 +48,12 @@
 }
 
 // start starts a planner; one that ran before counts as killed.
-func (env *restartEnv) start() { env.planner = New(env.options) }
+func (env *restartEnv) start() {
+	if env.planner != nil {
+		env.planner.unlockState()
+	}
+	env.planner = New(env.options)
+}
 
 // deliver passes a snapshot with three boxes and the given titles to the planner, as its source would.
 func (env *restartEnv) deliver(titles ...string) { env.planner.handleSnapshot(env.snapshot(titles...)) }
@@ -519,3 +524,19 @@
 	snapshot.InvalidBoxes[0].Drain = true
 	check("a drain in such an entry", view.StateDraining)
 }
+
+// Guards against two planners with one state folder, of which the later one has read what the earlier one still changes.
+func TestStateFolderInUse(t *testing.T) {
+	env := newRestartEnv(t, false)
+	env.want("PUT", "/v1/titles/clip", `{"name":"clip","home":0,"span":1}`, 204)
+	stopping := env.planner
+	started := make(chan *Planner)
+	go func() { started <- New(env.options) }()
+	time.Sleep(50 * time.Millisecond)
+	env.want("PUT", "/v1/titles/late", `{"name":"late","home":0,"span":1}`, 204)
+	stopping.unlockState()
+	env.planner = <-started
+	if titles := env.planner.monitor.titles; len(titles) != 2 || env.planner.stateError != nil {
+		t.Errorf("the later planner has %v, %v", titles, env.planner.stateError)
+	}
+}
