--- a/internal/planner/restart_test.go
+++ b/internal/planner/restart_test.go
@@ -76,6 +76,8 @@
 	mux := http.NewServeMux()
 	env.planner.registerPeakRoutes(mux)
 	mux.HandleFunc("POST /v1/boxes/{id}/drain", func(w http.ResponseWriter, r *http.Request) { env.planner.handleDrain(w, r, true) })
+	mux.HandleFunc("DELETE /v1/boxes/{id}/drain", func(w http.ResponseWriter, r *http.Request) { env.planner.handleDrain(w, r, false) })
+	mux.HandleFunc("DELETE /v1/titles/{name}", env.planner.handleSetTitle)
 	mux.HandleFunc("GET /v1/titles", env.planner.handleListTitles)
 	mux.HandleFunc("POST /v1/titles/accept-removals", env.planner.handleAcceptRemovals)
 	mux.HandleFunc("PUT /v1/titles/{name}", env.planner.handleSetTitle)
