--- a/internal/edge/adopt.go
+++ b/internal/edge/adopt.go
@@ -31,6 +31,26 @@
 // listed what they run. A session that is set up again while its old stream runs would occupy capacity twice.
 const reclaimWait = 700 * time.Millisecond
 
+const (
+	// boxReleaseTime is how long a box keeps the sessions of an edge whose event stream is gone. A box that has not reported
+	// within that time and adoptionMargin has released them.
+	boxReleaseTime = 2 * time.Second
+	adoptionMargin = 500 * time.Millisecond
+
+	// seatsWait is how long a set-up waits for the seats to be known, before its viewer is asked to come again. It is short,
+	// since a request counts for the attempt budget when it is submitted.
+	seatsWait = 100 * time.Millisecond
+)
+
+// expireAdoption stops waiting for boxes once those that have not reported have released what they ran.
+func (e *Edge) expireAdoption() {
+	select {
+	case <-e.ctx.Done():
+	case <-time.After(boxReleaseTime + adoptionMargin):
+		e.adoption.expire()
+	}
+}
+
 // boxesToReclaim returns the boxes whose event streams list the sessions that an earlier instance of this edge left
 // playing: those of the saved view, and those of the planner's first view if a class has seats.
 func (e *Edge) boxesToReclaim(v view.View, cached bool) (ids []string) {
@@ -44,6 +64,9 @@
 			ids = append(ids, b.ID)
 		}
 	}
+	if len(ids) > 0 {
+		e.spawn(e.expireAdoption)
+	}
 	return ids
 }
 
@@ -57,8 +80,8 @@
 	return e.settings.Classes[class].Seats == 0 || e.adoption.pendingCount() == 0
 }
 
-// awaitSeats waits until it is known which seats are taken. It returns false if that is not known by the deadline, or if
-// the viewer disconnects before.
+// awaitSeats waits for seatsWait until it is known which seats are taken. It returns false if that is not known by then or
+// by the deadline, or if the viewer disconnects before.
 func (e *Edge) awaitSeats(x *http1.Exchange, deadline time.Duration) bool {
 	disconnected, stop := x.WatchDisconnect()
 	defer stop()
@@ -66,7 +89,7 @@
 	case <-e.adoption.complete():
 		return true
 	case <-disconnected:
-	case <-time.After(deadline - e.now()):
+	case <-time.After(min(seatsWait, deadline-e.now())):
 	}
 	return false
 }
--- a/internal/edge/adoption.go
+++ b/internal/edge/adoption.go
@@ -44,6 +44,16 @@
 	}
 }
 
+// expire stops waiting for all boxes that have not reported.
+func (a *adoption) expire() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.pending) > 0 {
+		clear(a.pending)
+		close(a.done)
+	}
+}
+
 // complete returns a channel that is closed once no box is pending.
 func (a *adoption) complete() <-chan struct{} {
 	a.mu.Lock()
--- a/internal/edge/handle.go
+++ b/internal/edge/handle.go
@@ -372,7 +372,7 @@
 			if !e.seatsKnown(req.class) {
 				s.mu.Unlock()
 				if !e.awaitSeats(x, deadline) {
-					e.writeRefusal(x, time.Second)
+					e.writeRefusal(x, e.Site.RetryAfter.Std())
 					return
 				}
 				continue
