--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,17 +10,14 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"sync"
 	"time"
 
 	"rainpulley/internal/accept"
-	"rainpulley/internal/cmsd"
 	"rainpulley/internal/config"
 	"rainpulley/internal/descriptors"
 	"rainpulley/internal/http1"
 	"rainpulley/internal/registry"
-	"rainpulley/internal/timeconv"
 	"rainpulley/internal/titles"
 	"rainpulley/internal/view"
 )
@@ -179,199 +175,3 @@
 	close(p.updated)
 	p.updated = make(chan struct{})
 }
-
-// healthResponse is the body of a box's answer to GET /health.
-type healthResponse struct {
-	State         string `json:"state"`
-	Boot          string `json:"boot"`
-	StartedMs     int64  `json:"started_ms"`
-	TitlesVersion uint64 `json:"titles_version"`
-}
-
-// runHealthChecks checks one box at each interval until ctx ends. The number spreads the checks of the boxes over
-// the interval.
-func (p *Planner) runHealthChecks(ctx context.Context, addr string, number int) {
-	interval := p.Site.Planner.CheckEvery.Std()
-	var knownVersion uint64 // version of the list of titles that was read last, plus 1; 0: none was read
-	var lastRead time.Time
-	misses := 0
-	timer := time.NewTimer(interval * time.Duration(number) / time.Duration(max(len(p.Site.Boxes), 64)))
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		timer.Reset(interval)
-		check, known := p.checkHealth(ctx, addr)
-		if ctx.Err() != nil {
-			return
-		}
-		if !known {
-			continue
-		}
-		p.mu.Lock()
-		p.monitor.RecordCheck(addr, check)
-		p.updateManagerBoxes()
-		before := p.published.Version
-		p.publishView()
-		after := p.published.Version
-		p.mu.Unlock()
-		if after != before {
-			p.Log.Info("view published", "version", after, "cause", addr, "answered", check.Answered,
-				"draining", check.Draining, "boot", check.BootID)
-		}
-		// Titles are read after the state is published, so that a drain takes effect without delay.
-		p.refreshTitles(ctx, addr, check, &knownVersion, &lastRead, &misses)
-	}
-}
-
-// checkHealth sends one health check to a box. A failed request or an invalid answer counts as not answered. known is
-// false if the check could not be sent for a reason of this machine, which says nothing about the box.
-func (p *Planner) checkHealth(ctx context.Context, addr string) (check HealthCheck, known bool) {
-	requestCtx, cancel := context.WithTimeout(ctx, p.Site.Planner.CheckFor.Std())
-	defer cancel()
-	r, err := p.client.Do(requestCtx, addr, "GET", "/health", nil, nil)
-	if descriptors.IsLocal(err) {
-		p.Log.Warn("health check not sent", "server", addr, "error", err)
-		return HealthCheck{}, false
-	}
-	var health healthResponse
-	if err != nil || r.Status != 200 || json.Unmarshal(r.Body, &health) != nil {
-		return HealthCheck{}, true
-	}
-	check = HealthCheck{Answered: true, Draining: health.State == "draining", BootID: health.Boot,
-		TitlesVersion: health.TitlesVersion, AnsweredAt: time.Now()}
-	if load := cmsd.Parse(r.Get("cmsd-dynamic")); load != nil {
-		if load.LinkUtilization != nil {
-			check.LinkUtilization = *load.LinkUtilization
-		}
-		if load.Streams != nil {
-			check.Streams = *load.Streams
-		}
-	}
-	if health.StartedMs > 0 && health.StartedMs <= timeconv.MaxUnixMilli {
-		check.Started = time.UnixMilli(health.StartedMs)
-	}
-	return check, true
-}
-
-const (
-	heartbeatInterval  = time.Second
-	streamWriteTimeout = 5 * time.Second // the connection to an edge is closed after a write takes this long
-)
-
-// streamView sends the whole view, then each change, with heartbeats in between.
-func (p *Planner) handleStream(w http.ResponseWriter, r *http.Request) {
-	controller := http.NewResponseController(w)
-	w.Header().Set("Content-Type", "application/x-ndjson")
-	encoder := json.NewEncoder(w)
-	var sent view.View
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
-	for first := true; ; {
-		p.mu.Lock()
-		v, updated, holds := p.published, p.updated, p.peakState.publishedHolds
-		p.mu.Unlock()
-		if v.Version == 0 { // no view published yet
-			select {
-			case <-r.Context().Done():
-				return
-			case <-updated:
-			}
-			continue
-		}
-		line := view.Update{Version: v.Version}
-		switch {
-		case first:
-			line = view.Update{Version: v.Version, Full: true, Boxes: v.Boxes, Titles: v.Titles,
-				NowMs: time.Now().UnixMilli()}
-		case v.Version != sent.Version:
-			line = view.Diff(sent, v)
-			line.NowMs = time.Now().UnixMilli()
-		}
-		line.Holds = holds
-		sent, first = v, false
-		_ = controller.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
-		if encoder.Encode(line) != nil || controller.Flush() != nil {
-			return
-		}
-		select {
-		case <-r.Context().Done():
-			return
-		case <-updated:
-		case <-ticker.C:
-		}
-	}
-}
-
-func (p *Planner) handleView(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	v := p.published
-	p.mu.Unlock()
-	if v.Version == 0 {
-		http.Error(w, "the fleet is not checked yet", http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(view.Update{Version: v.Version, Full: true, Boxes: v.Boxes, Titles: v.Titles,
-		NowMs: time.Now().UnixMilli()})
-}
-
-// errUnknownBox reports that no source and no site file has a box.
-var errUnknownBox = errors.New("no such box")
-
-// handleDrain starts or ends an operator's drain of a box.
-func (p *Planner) handleDrain(w http.ResponseWriter, r *http.Request, on bool) {
-	id := r.PathValue("id")
-	check := func() error {
-		switch {
-		case p.monitor.boxes[id] != nil || p.monitor.operatorDrains[id]: // the drain of a box that has left may be ended
-			return nil
-		case !p.sourcesHeard():
-			return &notReadyError{errUnknownBox}
-		}
-		return errUnknownBox
-	}
-	err := p.changeOverrides(check, func(next *overrides) {
-		next.Drains = slices.DeleteFunc(next.Drains, func(d string) bool { return d == id })
-		if on {
-			next.Drains = append(next.Drains, id)
-		}
-	}, func() {
-		p.monitor.SetDrain(id, on)
-		p.publishView()
-	})
-	if err != nil {
-		writeChangeError(w, err)
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
-
-// handleSetTitle sets a title (PUT) or removes it (DELETE) as an operator's override.
-func (p *Planner) handleSetTitle(w http.ResponseWriter, r *http.Request) {
-	t := view.Title{Name: r.PathValue("name")}
-	if r.Method == http.MethodPut {
-		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4096))
-		decoder.DisallowUnknownFields()
-		if err := decoder.Decode(&t); err != nil || t.Name != r.PathValue("name") || !p.titleFits(t) ||
-			t.CellSpan < 1 || t.LengthMs < 0 || t.LengthMs > timeconv.MaxDuration.Milliseconds() {
-			http.Error(w, "want {\"name\",\"home\",\"span\",\"length_ms\"} that fit the cells", http.StatusBadRequest)
-			return
-		}
-	}
-	err := p.changeOverrides(func() error { return nil }, func(next *overrides) { next.Titles[t.Name] = t }, func() {
-		p.catalogue.SetOverride(t)
-		p.applyTitles()
-		p.confirmRemovals(time.Now().UnixMilli())
-		p.updateHolders()
-		p.publishView()
-	})
-	if err != nil {
-		writeChangeError(w, err)
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
--- a/internal/planner/reload.go
+++ b/internal/planner/reload.go
@@ -1,8 +1,6 @@
 package planner
 
 import (
-	"context"
-	"sync"
 	"time"
 
 	"rainpulley/internal/config"
@@ -10,13 +8,6 @@
 	"rainpulley/internal/view"
 )
 
-// healthChecks are the goroutines that check boxes; guarded by Planner.mu.
-type healthChecks struct {
-	ctx         context.Context
-	wg          *sync.WaitGroup
-	cancelByBox map[string]context.CancelFunc
-}
-
 func (p *Planner) siteBox(b config.Box) view.Box {
 	return view.Box{ID: b.Addr, Zone: b.Zone, Kind: b.Kind, Cell: b.Cell, Rack: b.Cell % p.Site.Racks, Weight: b.Weight}
 }
@@ -39,23 +30,6 @@
 	return site.Boxes
 }
 
-// startHealthChecks starts the goroutine that checks a box. p.mu is held.
-func (p *Planner) startHealthChecks(addr string, number int) {
-	ctx, cancel := context.WithCancel(p.healthChecks.ctx)
-	p.healthChecks.cancelByBox[addr] = cancel
-	p.healthChecks.wg.Add(1)
-	go func() { defer p.healthChecks.wg.Done(); p.runHealthChecks(ctx, addr, number) }()
-}
-
-// stopHealthChecks ends the checks of a box, if there are any. p.mu is held.
-func (p *Planner) stopHealthChecks(addr string) {
-	if p.healthChecks == nil || p.healthChecks.cancelByBox[addr] == nil {
-		return
-	}
-	p.healthChecks.cancelByBox[addr]()
-	delete(p.healthChecks.cancelByBox, addr)
-}
-
 // Reload applies the boxes and titles of a changed site file; where sources describe the fleet, its boxes do not count.
 // Overrides that operators set through the API take precedence over the file. All other settings are fixed when the planner starts; changes of them are logged as
 // needing a restart.
