--- a/internal/edge/requests.go
+++ b/internal/edge/requests.go
@@ -3,11 +3,12 @@
 import (
 	"bytes"
 	"fmt"
-	"rainpulley/internal/http1"
-	"rainpulley/internal/timeconv"
 	"strconv"
 	"strings"
 	"time"
+
+	"rainpulley/internal/http1"
+	"rainpulley/internal/timeconv"
 )
 
 // viewerRequest contains the parsed parameters of a viewer's HTTP request.
--- a/internal/planner/api.go
+++ b/internal/planner/api.go
@@ -4,10 +4,11 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"rainpulley/internal/timeconv"
-	"rainpulley/internal/view"
 	"slices"
 	"time"
+
+	"rainpulley/internal/timeconv"
+	"rainpulley/internal/view"
 )
 
 const (
--- a/internal/planner/env_test.go
+++ b/internal/planner/env_test.go
@@ -8,14 +8,15 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
-	"rainpulley/internal/config"
-	"rainpulley/internal/reconcile"
-	"rainpulley/internal/registry"
-	"rainpulley/internal/view"
 	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"rainpulley/internal/config"
+	"rainpulley/internal/reconcile"
+	"rainpulley/internal/registry"
+	"rainpulley/internal/view"
 )
 
 // silentSource is a source that has not reported yet; a test passes its snapshots to the planner.
--- a/internal/planner/health.go
+++ b/internal/planner/health.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
+	"time"
+
 	"rainpulley/internal/cmsd"
 	"rainpulley/internal/descriptors"
 	"rainpulley/internal/timeconv"
-	"sync"
-	"time"
 )
 
 // healthResponse is the body of a box's answer to GET /health.
--- a/internal/planner/sources_test.go
+++ b/internal/planner/sources_test.go
@@ -2,14 +2,15 @@
 
 import (
 	"maps"
-	"rainpulley/internal/config"
-	"rainpulley/internal/copies"
-	"rainpulley/internal/reconcile"
-	"rainpulley/internal/view"
 	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"rainpulley/internal/config"
+	"rainpulley/internal/copies"
+	"rainpulley/internal/reconcile"
+	"rainpulley/internal/view"
 )
 
 // Guards against a snapshot of the sources that is never stored because one write failed.
