--- a/internal/edge/env_test.go
+++ b/internal/edge/env_test.go
@@ -139,6 +139,15 @@
 
 // startEdge starts edge i and waits until its view lists the given number of boxes.
 func (env *testEnv) startEdge(i, boxes int) {
+	env.t.Helper()
+	env.startEdgeTask(i)
+	env.waitFor("the edge to have its view", func() bool {
+		return strings.Contains(env.status(i), fmt.Sprintf(`"boxes":%d,`, boxes))
+	})
+}
+
+// startEdgeTask starts edge i.
+func (env *testEnv) startEdgeTask(i int) {
 	env.t.Helper()
 	o := edge.Options{Site: env.site, Position: i, Planner: env.site.Planner.Listen, StateDir: env.stateDir, Seed: uint64(i + 1), ShutdownGrace: 3 * time.Second,
 		Descriptors: env.edgeDescriptors, Log: slog.New(slog.DiscardHandler), StartTime: time.Now().Add(env.edgeClockOffset)}
@@ -150,9 +159,6 @@
 		env.t.Fatal(err)
 	}
 	env.edgeTasks[i] = env.run(e.Run)
-	env.waitFor("the edge to have its view", func() bool {
-		return strings.Contains(env.status(i), fmt.Sprintf(`"boxes":%d,`, boxes))
-	})
 }
 
 func (env *testEnv) waitFor(what string, condition func() bool) {
