Reconcile test: its model learns what the new step reports to the catalogue

Trace: b0's drain is told by the catalogue and withdrawn in the list; the step that leaves out another box (b1) reports that list to the catalogue, which withdraws the drain of b0; the model did not note it and went on expecting the drain. The fault is the test's, in the step added with "a box that leaves the list". The model now notes the drains of that report; of the box that is left out it says nothing, as before.

--- a/internal/reconcile/reconcile_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -239,6 +239,9 @@
 				all := f.list
 				f.list = append(slices.Clone(all[:i]), all[i+1:]...)
 				f.report(t, "catalogue")
+				for _, e := range f.list { // of the box itself the list says nothing
+					drains["catalogue"][e.ID] = e.Drain
+				}
 				for _, status := range f.Evaluate(f.now) {
 					if status.ID == id && status.State == Ready && status.Source == "catalogue" {
 						t.Fatalf("%s is ready (%s) although the list lacks it", status.ID, status.Reason)
